Settle starts in doubt when their worker is born again

Cause: the expiry of a start is on the clock of one life of its worker. After a rebirth the owner compared it with the clock of the new life, which starts anew, so that a start without an answer was settled far too late, and one whose repeat was refused as old never. A start that was still due was also sent before the new clock was known, with an expiry far in the future.

Change: after a rebirth the expiry of a start in doubt counts as never; it is settled by a stop that the new life confirms. A refusal as old counts as that confirmation. Starts wait until the worker's clock is known. The end of a run as done is logged like every other end.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -163,7 +163,7 @@
 	JobPreempted:   {"job preempted", logrus.InfoLevel, "The job gives its place back to a guarantee."},
 	JobAdopted:     {"job adopted", logrus.InfoLevel, "A new owner found the job running and keeps it."},
 	JobStopping:    {"run stopping", logrus.InfoLevel, "A run of a piece is being stopped; the line says why."},
-	TaskEnded:      {"task ended", logrus.InfoLevel, "A run of a task ended otherwise than by finishing."},
+	TaskEnded:      {"task ended", logrus.InfoLevel, "A run of a task ended; the cause tells how."},
 	JobsRemoved:    {"jobs removed", logrus.InfoLevel, "The records of jobs that ended long ago are removed."},
 	CancelRecorded: {"cancellation recorded", logrus.InfoLevel, "The caller's cancellation is durable."},
 	CancelFailed:   {"cancellation failed", logrus.WarnLevel, "The caller's cancellation could not be recorded for certain."},
--- a/internal/pool/answers.go
+++ b/internal/pool/answers.go
@@ -62,6 +62,9 @@
 	o.record(event.OrderRefused, event.Subject{Job: string(m.piece.job.id()), Worker: string(w.info.ID)}, event.Fields{"task": string(m.key().Task), "run": m.run, "tries": m.tries, "why": err.Error()})
 	w.nextHold = o.now
 	if errors.Is(err, ErrOldRun) && m.tries > 1 {
+		// An earlier try was carried out and the run has ended: unless the worker lists
+		// it, this life of it will never start the run.
+		m.stopConfirmed = o.now
 		return
 	}
 	if errors.Is(err, ErrOverloaded) || errors.Is(err, ErrNoRoom) || errors.Is(err, ErrUnreachable) {
@@ -253,9 +256,13 @@
 		}
 	}
 	for key, m := range w.members.all() {
-		if !listed[key] && deniedBy(m, sent, inventory.ClockMS) {
+		switch {
+		case listed[key]:
+		case deniedBy(m, sent, inventory.ClockMS):
 			o.memberEnded(m, EndLapsed, "", "not_listed")
 			o.settle(m.piece)
+		case m.expiresMS == neverExpires && !m.inFlight && !m.startDue && !m.stopping:
+			o.stopPiece(m.piece, "start_in_doubt")
 		}
 	}
 	o.resolveSuspects(w)
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -151,6 +151,11 @@
 	w.orphans.clear()
 	for _, m := range w.members.all() {
 		m.stopConfirmed = time.Time{}
+		if m.tries > 1 {
+			// An earlier try may still be under way, also to a run that was confirmed.
+			m.phase = memberSent
+		}
+		m.expiresMS = neverExpires
 	}
 }
 
--- a/internal/pool/owner_test.go
+++ b/internal/pool/owner_test.go
@@ -436,3 +436,47 @@
 	w.waitFor(20*time.Second, id, workflow.Completed)
 	require.Equal(t, 3, tries)
 }
+
+// A start in doubt when its worker is born again is settled: its expiry was on the clock
+// of the earlier life, which the new one reaches much later. (Found by a hunt, on a day
+// on which workers are cut and born again.)
+func TestStartInDoubtAtARebornWorkerIsSettled(t *testing.T) {
+	w := start(t, 1, 1)
+	w.run(time.Minute)
+	w.lose = func(c pool.Call) (bool, time.Duration) { return c.Start != nil, time.Minute }
+	id := w.submit("a", "aso", normal(), step(1, 1, time.Second))
+	w.run(500 * time.Millisecond)
+	w.workers["w0-0"].crash()
+	w.owner.sync()
+	w.run(500 * time.Millisecond)
+	w.lose = nil
+	w.waitFor(10*time.Second, id, workflow.Completed)
+}
+
+// A repeated start is refused as old when the first was carried out and its run has
+// ended; the worker is born again before it has listed that end.
+func TestStartRefusedAsOldBeforeARebirthIsSettled(t *testing.T) {
+	w := start(t, 1, 1)
+	w.run(time.Minute)
+	refused := false
+	w.lose = func(c pool.Call) (bool, time.Duration) {
+		switch {
+		case c.Start != nil && c.Start.Run == 1 && !refused:
+			refused = true
+			w.after(100*time.Millisecond, func() {
+				for _, run := range w.workers["w0-0"].sorted() {
+					w.workers["w0-0"].end(run, pool.EndLapsed)
+				}
+			})
+			return true, 0
+		case c.Hold != nil && w.workers["w0-0"].born == 1:
+			return true, time.Minute
+		}
+		return false, 0
+	}
+	id := w.submit("a", "aso", normal(), step(1, 1, time.Second))
+	w.run(1200 * time.Millisecond)
+	w.workers["w0-0"].crash()
+	w.owner.sync()
+	w.waitFor(10*time.Second, id, workflow.Completed)
+}
--- a/internal/pool/piece.go
+++ b/internal/pool/piece.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"time"
 
 	"github.com/chervilrun/chervilrun/internal/chart"
@@ -133,6 +134,10 @@
 	memberGone
 )
 
+// neverExpires is the expiry of an order on the clock of an earlier life of its worker:
+// the clock of the present life says nothing of it, so that only a stop settles it.
+const neverExpires = math.MaxInt64
+
 // member is one task of a run on its worker.
 type member struct {
 	piece *piece
@@ -145,7 +150,8 @@
 	tries    int
 	inFlight bool
 	startDue bool
-	// expiresMS is the latest expiry of a start order, on the worker's clock.
+	// expiresMS is the latest expiry of a start order, on the worker's clock; it is
+	// neverExpires once the clock has started anew.
 	expiresMS int64
 	// sent is when the latest start order left.
 	sent time.Time
--- a/internal/pool/runs.go
+++ b/internal/pool/runs.go
@@ -176,13 +176,13 @@
 	if checkpoint != "" {
 		p.checkpoint = checkpoint
 	}
+	o.record(event.TaskEnded, event.Subject{Job: string(p.job.id()), Worker: string(m.on)}, event.Fields{
+		"task": string(m.key().Task), "run": m.run, "cause": string(cause), "why": why, "saved": checkpoint != "",
+	})
 	if cause == EndDone {
 		o.finishPiece(p)
 		return
 	}
-	o.record(event.TaskEnded, event.Subject{Job: string(p.job.id()), Worker: string(m.on)}, event.Fields{
-		"task": string(m.key().Task), "run": m.run, "cause": string(cause), "why": why, "saved": checkpoint != "",
-	})
 	if cause == EndFailed {
 		o.countFailure(p, m)
 	}
--- a/internal/pool/step.go
+++ b/internal/pool/step.go
@@ -155,7 +155,7 @@
 			m.stopInFlight, m.stopSent = true, o.now
 			o.sendStop(w, m.key(), m, nil)
 		}
-	case m.startDue:
+	case m.startDue && !w.clockAt.IsZero():
 		o.sendStart(w, m)
 	}
 }
@@ -173,7 +173,7 @@
 		order.Ticket = m.piece.step.ticketFor(w, o.now, 0)
 	}
 	w.gaveLease(order.ExpiresMS)
-	m.expiresMS = order.ExpiresMS
+	m.expiresMS = max(m.expiresMS, order.ExpiresMS)
 	m.tries++
 	m.startDue = false
 	w.orders++
--- a/internal/pool/world_test.go
+++ b/internal/pool/world_test.go
@@ -110,7 +110,7 @@
 	id := model.WorkerID(fmt.Sprintf("w%d-%d", rack, i))
 	w.ids = append(w.ids, id)
 	w.workers[id] = &fakeWorker{
-		world: w, born: 1, runs: map[pool.RunKey]*fakeRun{}, highest: map[model.TaskID]int{}, speed: 1,
+		world: w, born: 1, bornAt: begin, runs: map[pool.RunKey]*fakeRun{}, highest: map[model.TaskID]int{}, speed: 1,
 		info: pool.WorkerInfo{
 			ID: id, Address: string(id), Service: "ledger", Zone: model.AvailabilityZoneID(fmt.Sprintf("z%d", rack%2)),
 			Rack: fmt.Sprintf("r%d", rack), Labels: []string{"a", fmt.Sprintf("r%d", rack)}, Born: 1,
@@ -330,9 +330,9 @@
 	if lost {
 		born := w.workers[call.Target.Worker].born
 		w.after(late, func() {
-			// A hold that reaches a later life of the worker is left out: see
+			// An order that is held up ends with the life of the worker that holds it: see
 			// docs/design/071-platform-questions.md.
-			if call.Hold == nil || w.workers[call.Target.Worker].born == born {
+			if w.workers[call.Target.Worker].born == born {
 				w.execute(call)
 			}
 		})
@@ -569,9 +569,11 @@
 
 // fakeWorker keeps the rules of a worker: fences, leases, room, gangs, ends.
 type fakeWorker struct {
-	world    *world
-	info     pool.WorkerInfo
-	born     int64
+	world *world
+	info  pool.WorkerInfo
+	born  int64
+	// bornAt is when this life began; the worker's clock counts from there.
+	bornAt   time.Time
 	unlisted bool
 	dead     bool
 	fence    uint64
@@ -599,7 +601,7 @@
 
 func (f *fakeWorker) now() time.Time { return f.world.now() }
 
-func (f *fakeWorker) clockMS() int64 { return f.now().Sub(begin).Milliseconds() + 1000 }
+func (f *fakeWorker) clockMS() int64 { return f.now().Sub(f.bornAt).Milliseconds() + 1000 }
 
 func (f *fakeWorker) start(order pool.StartOrder) error {
 	if order.Fence < f.fence {
@@ -827,6 +829,7 @@
 	f.runs, f.highest, f.ends = map[pool.RunKey]*fakeRun{}, map[model.TaskID]int{}, nil
 	f.number, f.fence, f.leaseMS = 0, 0, 0
 	f.born++
+	f.bornAt = f.now()
 	f.info.Born = f.born
 }
 
