Show a pool to operators: pool status and pool why

Cause: on-call engineers had only logs; nothing told of a pool that runs how its guarantees stand, what they cost whom, or why a job waits.

Change: hosts answer GET /pool/v1/status and /pool/v1/jobs/ID on their address for other hosts, read-only; chervilctl pool status and pool why ask any host and then the owner.

--- a/internal/ctl/admin.go
+++ b/internal/ctl/admin.go
@@ -131,7 +131,7 @@
 		return failed
 	}
 	if response.StatusCode != http.StatusOK {
-		return failure(lostOutcome(method, errors.Errorf("status %s, is this a chervil-admin?", response.Status)))
+		return failure(lostOutcome(method, errors.Errorf("status %s, is this a process of chervilrun?", response.Status)))
 	}
 	if err := json.Unmarshal(text, answer); err != nil {
 		return failure(lostOutcome(method, err))
--- a/internal/ctl/command/command.go
+++ b/internal/ctl/command/command.go
@@ -93,7 +93,7 @@
 		FlagSet: flags,
 		Subcommands: []*ffcli.Command{
 			p.config(), p.zone(), p.job(), p.org(), p.executor(),
-			p.timeline(), p.logs(), p.status(), p.cost(), p.token(),
+			p.timeline(), p.logs(), p.pool(), p.status(), p.cost(), p.token(),
 		},
 		Exec: func(context.Context, []string) error {
 			if *version {
--- a/internal/ctl/command/script_test.go
+++ b/internal/ctl/command/script_test.go
@@ -58,6 +58,8 @@
 	inForce atomic.Pointer[config.Cluster]
 	// behind is how many versions the host h2 lags.
 	behind atomic.Int64
+	// ownerAway ends the host that owns the pool.
+	ownerAway func()
 	// cut makes the next change take effect without an answer.
 	cut atomic.Bool
 }
@@ -193,6 +195,8 @@
 		d.behind.Store(int64(versions))
 	case "cut":
 		d.cut.Store(true)
+	case "owner-away":
+		d.ownerAway()
 	case "other-operator":
 		if result := d.acceptor.SetZone(context.Background(), "bence", "kagoshima", args[1] == "out"); !result.Accepted() {
 			ts.Fatalf("other operator: %v", result.Outcome)
@@ -232,6 +236,11 @@
 			admin, callers := httptest.NewServer(handler), httptest.NewServer(entry())
 			env.Defer(admin.Close)
 			env.Defer(callers.Close)
+			hosts := newPoolStandin()
+			env.Defer(hosts.host.Close)
+			env.Defer(hosts.owner.Close)
+			d.ownerAway = hosts.owner.Close
+			env.Setenv("CHERVILCTL_POOL_HOST", hosts.host.URL)
 			env.Values[deploymentKey{}] = d
 			env.Setenv("CHERVILCTL_ADDRESS", admin.URL)
 			env.Setenv("CHERVILCTL_ENTRY", callers.URL)
--- a/internal/ctl/settings.go
+++ b/internal/ctl/settings.go
@@ -26,6 +26,8 @@
 	Address string
 	// Entry is the URL of a chervil-entry.
 	Entry string
+	// PoolHost is the URL of a host of a pool, for the pool commands; empty when there is none.
+	PoolHost string
 	// Token is the operator's token.
 	Token string
 	// CallerToken is the token of an organisation, for the job commands.
@@ -43,6 +45,7 @@
 func (s *Settings) declare(flags *flag.FlagSet) {
 	flags.StringVar(&s.Address, "address", presetAddress, "`URLs` of chervil-admin with commas between them, tried in order")
 	flags.StringVar(&s.Entry, "entry", presetEntry, "`URL` of a chervil-entry, for job commands")
+	flags.StringVar(&s.PoolHost, "pool-host", "", "`URL` of a host of a pool at its address for other hosts, for pool commands")
 	flags.StringVar(&s.Token, "token", "", "operator's `token`")
 	flags.StringVar(&s.CallerToken, "caller-token", "", "organisation's `token`, for job commands")
 	flags.StringVar(&s.Output, "o", OutputText, "`form` of the output: text or json")
@@ -90,6 +93,12 @@
 		return err
 	}
 	s.Entry = strings.TrimSuffix(s.Entry, "/")
+	if s.PoolHost != "" {
+		if err := checkURL("pool-host", s.PoolHost); err != nil {
+			return err
+		}
+		s.PoolHost = strings.TrimSuffix(s.PoolHost, "/")
+	}
 	if s.Output != OutputText && s.Output != OutputJSON {
 		return &UsageError{Message: fmt.Sprintf("setting o is %q, expected text or json", s.Output)}
 	}
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -35,6 +35,7 @@
 	suspects []*piece
 
 	peaks      map[peakKey]peak
+	reclaims   map[reclaimKey]ReclaimReport
 	upkeep     upkeep
 	quarantine *quarantine.List
 	deposed    bool
@@ -61,17 +62,18 @@
 // NewOwner returns the owner with a fence, which is the revision of the owner's key.
 func NewOwner(fence uint64, timing Timing, events *event.Recorder, now time.Time) *Owner {
 	return &Owner{
-		fence:   fence,
-		timing:  timing,
-		events:  events,
-		began:   now,
-		now:     now,
-		jobs:    newTable[model.JobID, *job](),
-		active:  newTable[model.JobID, *job](),
-		workers: newTable[model.WorkerID, *worker](),
-		pieces:  map[plan.PieceID]*piece{},
-		index:   newIndex(),
-		peaks:   map[peakKey]peak{},
+		fence:    fence,
+		timing:   timing,
+		events:   events,
+		began:    now,
+		now:      now,
+		jobs:     newTable[model.JobID, *job](),
+		active:   newTable[model.JobID, *job](),
+		workers:  newTable[model.WorkerID, *worker](),
+		pieces:   map[plan.PieceID]*piece{},
+		index:    newIndex(),
+		peaks:    map[peakKey]peak{},
+		reclaims: map[reclaimKey]ReclaimReport{},
 		quarantine: quarantine.NewList(quarantine.Rule{
 			Failures: quarantineFailures,
 			Base:     timing.QuarantineBase,
--- /dev/null
+++ b/internal/pool/report_test.go
@@ -0,0 +1,59 @@
+package pool_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chervilrun/chervilrun/internal/pool"
+	"github.com/chervilrun/chervilrun/internal/workflow"
+)
+
+// The report tells which guarantees are met, and what they have cost whom.
+func TestReportOfGuarantees(t *testing.T) {
+	w := start(t, 1, 4)
+	w.policy.Guarantees["aso"] = 16
+	w.owner.sync()
+	for range 4 {
+		w.submit("batch"+string(rune('a'+len(w.records))), "genkai", normal(), step(8, 1, 20*time.Second))
+	}
+	w.run(2 * time.Second)
+	w.submit("urgent", "aso", urgent(), gang(2, 8, 5*time.Second))
+	w.run(2 * time.Second)
+	report := w.owner.owner.Report()
+	require.Equal(t, 4, report.Workers.Usable)
+	require.Zero(t, report.Workers.Free)
+	require.Equal(t, []pool.OrganisationReport{
+		{Organisation: "aso", Guaranteed: 16, Urgent: 16, Use: 16},
+		{Organisation: "genkai", Use: 16},
+	}, report.Organisations)
+	require.True(t, report.Organisations[0].Met())
+	require.Len(t, report.Reclaims, 1)
+	require.Equal(t, 16, report.Reclaims[0].Runs)
+	require.Positive(t, report.Reclaims[0].CoreSeconds)
+
+	w.submit("urgent2", "aso", urgent(), step(1, 8, time.Second))
+	w.run(200 * time.Millisecond)
+	explanation, known := w.owner.owner.Explain("urgent2")
+	require.True(t, known)
+	require.Equal(t, "0 of 1 tasks fit into the free room of 4 workers; it waits for room behind more urgent work", explanation.Steps[0].Why)
+}
+
+// A job tells why each of its steps waits.
+func TestExplanationOfSteps(t *testing.T) {
+	w := start(t, 1, 1)
+	second := step(1, 1, time.Second)
+	second.After = []int{0}
+	id := w.submit("a", "aso", normal(), step(2, 2, time.Second), second, step(1, 64, time.Second))
+	w.waitFor(2*time.Second, id, workflow.Running)
+	w.run(200 * time.Millisecond)
+	explanation, known := w.owner.owner.Explain(id)
+	require.True(t, known)
+	require.Equal(t, 2, explanation.Steps[0].Running)
+	require.Empty(t, explanation.Steps[0].Why)
+	require.Equal(t, "step 0 has 2 parts that are not done", explanation.Steps[1].Why)
+	require.Contains(t, explanation.Steps[2].Why, "a task needs 64 accelerators")
+	_, known = w.owner.owner.Explain("b")
+	require.False(t, known)
+}
--- a/internal/pool/runs.go
+++ b/internal/pool/runs.go
@@ -26,6 +26,7 @@
 	o.claimed = append(o.claimed, p)
 	for _, id := range placement.Evict {
 		victim := o.pieces[id]
+		o.noteReclaim(p, victim)
 		o.record(event.JobPreempted, event.Subject{Job: string(victim.job.id())}, event.Fields{
 			"piece": victim.key, "run": victim.run, "for": string(p.id),
 			"organisation": string(p.job.record.Organisation),
--- a/internal/poolhost/host.go
+++ b/internal/poolhost/host.go
@@ -245,5 +245,10 @@
 	h.running.Wait()
 }
 
-// Handler serves the other hosts.
-func (h *Host) Handler() http.Handler { return rpc.NewPoolServer(&poolServer{h}) }
+// Handler serves the other hosts, and operators who look at this one.
+func (h *Host) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(rpc.PoolPathPrefix, rpc.NewPoolServer(&poolServer{h}))
+	h.inspect(mux)
+	return mux
+}
--- a/internal/poolhost/host_test.go
+++ b/internal/poolhost/host_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -383,3 +384,47 @@
 	d.put(configPrefix+"current", "3")
 	eventually(t, "version 3 is in force", func() bool { c, _ := a.Configuration(); return c != nil && c.Version == 3 })
 }
+
+// ask reads what a host shows to operators.
+func ask[T any](t *testing.T, h *testHost, path string) T {
+	response, err := http.Get(h.server.URL + path)
+	require.NoError(t, err)
+	defer func() { require.NoError(t, response.Body.Close()) }()
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	var answer T
+	require.NoError(t, json.NewDecoder(response.Body).Decode(&answer))
+	return answer
+}
+
+// Operators see what runs, what waits and why, at the owner; other hosts name the owner.
+func TestHostsShowThePoolToOperators(t *testing.T) {
+	d := newDeployment(t)
+	a := d.host("a", "a1", 1)
+	eventually(t, "a owns", func() bool { return a.log.has("ownership taken") })
+	b := d.host("b", "b1", 1)
+	eventually(t, "b knows the owner", func() bool { return b.log.has("owner changed") })
+	require.Equal(t, outcome.Accepted, a.Submit(ctx(t), record("0000000000000001")).Outcome.Kind)
+	huge := record("0000000000000002")
+	huge.Spec.Steps[0].PerTask.Accelerators = 64
+	require.Equal(t, outcome.Accepted, a.Submit(ctx(t), huge).Outcome.Kind)
+	eventually(t, "one job runs and one waits", func() bool {
+		queues := ask[poolhost.Status](t, a, poolhost.StatusPath).Term.Pool.Queues
+		return len(queues) == 1 && queues[0].Running == 1 && queues[0].Waiting == 1
+	})
+	status := ask[poolhost.Status](t, a, poolhost.StatusPath)
+	require.True(t, status.Term.Certain)
+	require.Equal(t, uint64(1), status.ConfigVersion)
+	require.Equal(t, 1, status.Term.Pool.Workers.Usable)
+	require.Equal(t, 7, status.Term.Pool.Workers.Free)
+
+	why := ask[poolhost.Explained](t, a, poolhost.ExplainPath+"0000000000000002")
+	require.Equal(t, "a task needs 64 accelerators, 0m, 0 MB, more than any of 1 workers has", why.Explanation.Steps[0].Why)
+	require.Empty(t, ask[poolhost.Explained](t, a, poolhost.ExplainPath+"0000000000000001").Explanation.Steps[0].Why)
+	require.False(t, ask[poolhost.Explained](t, a, poolhost.ExplainPath+"0000000000000003").Found)
+
+	other := ask[poolhost.Status](t, b, poolhost.StatusPath)
+	require.Nil(t, other.Term)
+	require.Equal(t, "a", other.Owner)
+	require.Equal(t, a.Address, other.OwnerAddress)
+	require.False(t, ask[poolhost.Explained](t, b, poolhost.ExplainPath+"0000000000000002").Owner)
+}
--- /dev/null
+++ b/internal/poolhost/inspect.go
@@ -0,0 +1,107 @@
+package poolhost
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/chervilrun/chervilrun/internal/event"
+	"github.com/chervilrun/chervilrun/internal/model"
+	"github.com/chervilrun/chervilrun/internal/pool"
+	"github.com/chervilrun/chervilrun/internal/store"
+)
+
+// The paths under which a host answers operators, with GET. The answers are JSON.
+const (
+	StatusPath  = "/pool/v1/status"
+	ExplainPath = "/pool/v1/jobs/"
+)
+
+// Status is what a host tells of itself and, if it owns the pool, of the pool.
+type Status struct {
+	Host        string `json:"host"`
+	Incarnation string `json:"incarnation"`
+	// ConfigVersion is the version in force; 0 before the first. ConfigAgeMS is the time
+	// since the host knew that no later one existed.
+	ConfigVersion   uint64 `json:"config_version"`
+	ConfigAgeMS     int64  `json:"config_age_ms"`
+	ConfigConfirmed bool   `json:"config_confirmed"`
+	// Owner is the host that owns the pool as this host knows it; empty when none does.
+	Owner        string `json:"owner"`
+	OwnerAddress string `json:"owner_address"`
+	// Lost lists what the host can't reach now.
+	Lost []string `json:"lost"`
+	// Term is set when this host owns the pool.
+	Term *TermStatus `json:"term,omitempty"`
+}
+
+// TermStatus tells of the ownership.
+type TermStatus struct {
+	Fence store.Revision `json:"fence"`
+	AgeMS int64          `json:"age_ms"`
+	// Certain is true while the ownership is confirmed and the jobs are known.
+	Certain bool        `json:"certain"`
+	Pool    pool.Report `json:"pool"`
+}
+
+// Explained is the answer for a job. Owner is false when the host does not own the pool.
+type Explained struct {
+	Owner        bool              `json:"owner"`
+	OwnerAddress string            `json:"owner_address"`
+	Found        bool              `json:"found"`
+	Explanation  *pool.Explanation `json:"explanation,omitempty"`
+}
+
+// Status returns what the host knows of itself and of the pool.
+func (h *Host) Status() Status {
+	config, age, fresh := h.directory.get()
+	s := Status{Host: h.Name, Incarnation: h.Incarnation, ConfigConfirmed: fresh, ConfigAgeMS: age.Milliseconds(), Lost: []string{}}
+	if config != nil {
+		s.ConfigVersion = config.Version
+	}
+	h.mu.Lock()
+	s.Owner, s.OwnerAddress = h.owner.Host, h.owner.Address
+	for what, down := range h.down {
+		if down {
+			s.Lost = append(s.Lost, what)
+		}
+	}
+	h.mu.Unlock()
+	if t := h.current(); t != nil {
+		s.Term = &TermStatus{Fence: t.fence, AgeMS: h.Clock.Now().Sub(t.began).Milliseconds(), Certain: t.answers()}
+		t.loop.Read(func(o *pool.Owner) { s.Term.Pool = o.Report() })
+	}
+	return s
+}
+
+// Explain tells how a job stands and why it waits.
+func (h *Host) Explain(id model.JobID) Explained {
+	h.mu.Lock()
+	answer := Explained{OwnerAddress: h.owner.Address}
+	h.mu.Unlock()
+	t := h.current()
+	if t == nil {
+		return answer
+	}
+	answer.Owner = true
+	t.loop.Read(func(o *pool.Owner) {
+		if explanation, found := o.Explain(id); found {
+			answer.Found, answer.Explanation = true, &explanation
+		}
+	})
+	return answer
+}
+
+// inspect serves operators.
+func (h *Host) inspect(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+StatusPath, func(w http.ResponseWriter, _ *http.Request) { h.show(w, h.Status()) })
+	mux.HandleFunc("GET "+ExplainPath+"{id}", func(w http.ResponseWriter, r *http.Request) {
+		h.show(w, h.Explain(model.JobID(r.PathValue("id"))))
+	})
+}
+
+func (h *Host) show(w http.ResponseWriter, answer any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(answer); err != nil {
+		h.Events.Note(event.RequestNotRun, event.Subject{}, event.Fields{"why": err.Error()})
+	}
+}
