--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -45,7 +45,10 @@
 type Recorder struct {
 	process string
 	clock   *HybridClock
+	wall    clockwork.Clock
 	log     *logrus.Logger
+	// throttle bounds the log; nil when it is not bounded.
+	throttle *throttle
 
 	mu   sync.Mutex
 	ring []Event
@@ -61,11 +64,16 @@
 	return &Recorder{
 		process: process,
 		clock:   NewHybridClock(clock),
+		wall:    clock,
 		log:     log,
 		ring:    make([]Event, ringEvents),
 	}
 }
 
+// LimitLog bounds the log lines of each kind of event. A line says in the field left_out
+// how many of its kind before it were not written. It is called before the first event.
+func (r *Recorder) LimitLog(limit Limit) { r.throttle = newThrottle(limit) }
+
 // Clock returns the hybrid clock that stamps the events.
 func (r *Recorder) Clock() *HybridClock { return r.clock }
 
@@ -113,7 +121,17 @@
 	if !r.log.IsLevelEnabled(level) {
 		return
 	}
+	leftOut := 0
+	if r.throttle != nil {
+		var ok bool
+		if leftOut, ok = r.throttle.admit(e.Number, r.wall.Now()); !ok {
+			return
+		}
+	}
 	fields := logrus.Fields{"event": int(e.Number), "process": e.Process}
+	if leftOut > 0 {
+		fields["left_out"] = leftOut
+	}
 	addField(fields, "job", e.Subject.Job)
 	addField(fields, "request", e.Subject.Request)
 	addField(fields, "worker", e.Subject.Worker)
--- /dev/null
+++ b/internal/event/limit_test.go
@@ -0,0 +1,39 @@
+package event_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/chervilrun/chervilrun/internal/event"
+)
+
+// A storm of one kind of event is cut to its rate, the line after it says how much was
+// left out, and other kinds are logged meanwhile.
+func TestRepeatedEventsAreLimitedAndCounted(t *testing.T) {
+	var out bytes.Buffer
+	log := logrus.New()
+	log.SetOutput(&out)
+	clock := clockwork.NewFakeClock()
+	recorder := event.NewRecorder("test", clock, log, 8)
+	recorder.LimitLog(event.Limit{PerSecond: 2, Burst: 5})
+	for range 20 {
+		recorder.Note(event.WorkerSilent, event.Subject{Worker: "w"}, event.Fields{})
+	}
+	recorder.Note(event.JobAccepted, event.Subject{Job: "j"}, event.Fields{})
+	require.Equal(t, 5, strings.Count(out.String(), "worker silent"))
+	require.Equal(t, 1, strings.Count(out.String(), "job accepted"))
+	require.NotContains(t, out.String(), "left_out")
+
+	clock.Advance(time.Second)
+	for range 4 {
+		recorder.Note(event.WorkerSilent, event.Subject{Worker: "w"}, event.Fields{})
+	}
+	require.Equal(t, 7, strings.Count(out.String(), "worker silent"))
+	require.Equal(t, 1, strings.Count(out.String(), "left_out=15"))
+}
--- a/internal/poolhost/metrics.go
+++ b/internal/poolhost/metrics.go
@@ -1,7 +1,11 @@
 package poolhost
 
 import (
+	"strconv"
+
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/chervilrun/chervilrun/internal/pool"
 )
 
 // Metrics are the counters and histograms of a host.
@@ -29,3 +33,88 @@
 	registry.MustRegister(m.Calls, m.Duration)
 	return m
 }
+
+// collector shows the state of a host and of the pool that it owns.
+type collector struct {
+	host *Host
+
+	owner, version, age                *prometheus.Desc
+	workers, room, jobs, oldest, unmet *prometheus.Desc
+	reclaimed                          *prometheus.Desc
+}
+
+// NewCollector returns the gauges of a host. Those of the pool are there only while the
+// host owns it.
+func NewCollector(h *Host) prometheus.Collector {
+	describe := func(name, help string, labels ...string) *prometheus.Desc {
+		return prometheus.NewDesc(name, help, labels, nil)
+	}
+	return &collector{
+		host:      h,
+		owner:     describe("chervil_pool_owner", "1 while the host owns the pool."),
+		version:   describe("chervil_pool_config_version", "Version of the configuration in force."),
+		age:       describe("chervil_pool_config_age_seconds", "Time since the version in force was known to be the newest."),
+		workers:   describe("chervil_pool_workers", "Workers by state.", "state"),
+		room:      describe("chervil_pool_accelerators", "Accelerators of the usable workers: all, and free.", "state"),
+		jobs:      describe("chervil_pool_jobs", "Jobs that have not ended, by priority and state.", "priority", "state"),
+		oldest:    describe("chervil_pool_oldest_waiting_seconds", "Age of the oldest job of which no task has started, by priority.", "priority"),
+		unmet:     describe("chervil_pool_guarantee_unmet_accelerators", "Accelerators within guarantees that waiting urgent work does not have."),
+		reclaimed: describe("chervil_pool_reclaimed_core_seconds", "Work thrown away since the take-over to make room for more important work."),
+	}
+}
+
+// Describe implements prometheus.Collector.
+func (c *collector) Describe(out chan<- *prometheus.Desc) { prometheus.DescribeByCollect(c, out) }
+
+// Collect implements prometheus.Collector.
+func (c *collector) Collect(out chan<- prometheus.Metric) {
+	gauge := func(desc *prometheus.Desc, value float64, labels ...string) {
+		out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, value, labels...)
+	}
+	s := c.host.Status()
+	gauge(c.version, float64(s.ConfigVersion))
+	gauge(c.age, float64(s.ConfigAgeMS)/1000)
+	if s.Term == nil {
+		gauge(c.owner, 0)
+		return
+	}
+	gauge(c.owner, 1)
+	w := s.Term.Pool.Workers
+	for state, count := range map[string]int{
+		"listed": w.Listed, "usable": w.Usable, "silent": w.Silent, "draining": w.Draining, "quarantined": w.Quarantined, "slow": w.Slow,
+	} {
+		gauge(c.workers, float64(count), state)
+	}
+	gauge(c.room, float64(w.Capacity), "all")
+	gauge(c.room, float64(w.Free), "free")
+	for _, q := range byPriority(s.Term.Pool.Queues) {
+		priority := strconv.Itoa(q.Priority)
+		gauge(c.jobs, float64(q.Waiting), priority, "waiting")
+		gauge(c.jobs, float64(q.Running), priority, "running")
+		gauge(c.oldest, float64(q.OldestMS)/1000, priority)
+	}
+	unmet := 0
+	for _, o := range s.Term.Pool.Organisations {
+		unmet += max(0, min(o.UrgentWaiting, o.Guaranteed-o.Urgent))
+	}
+	gauge(c.unmet, float64(unmet))
+	lost := 0.0
+	for _, r := range s.Term.Pool.Reclaims {
+		lost += r.CoreSeconds
+	}
+	gauge(c.reclaimed, lost)
+}
+
+// byPriority adds up queues of the same priority, since names of queues are many.
+func byPriority(queues []pool.QueueReport) map[int]pool.QueueReport {
+	sums := map[int]pool.QueueReport{}
+	for _, q := range queues {
+		sum := sums[q.Priority]
+		sum.Priority = q.Priority
+		sum.Waiting += q.Waiting
+		sum.Running += q.Running
+		sum.OldestMS = max(sum.OldestMS, q.OldestMS)
+		sums[q.Priority] = sum
+	}
+	return sums
+}
