Counts of queues outlive their owner for 2 s; the objective in the line of a done job

Cause: while the pool had no owner every host answered the count of a queue with 503, although a count may be 2 s old.

Change: a host remembers the latest count with the time at which it asked, and shows it until it is 2 s old.

Test: TestQueueCountOutlivesItsOwnerForAWhile.

--- a/internal/event/limit_test.go
+++ b/internal/event/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -37,3 +38,17 @@
 	require.Equal(t, 7, strings.Count(out.String(), "worker silent"))
 	require.Equal(t, 1, strings.Count(out.String(), "left_out=15"))
 }
+
+// BenchmarkNote writes a line as long as those of a start.
+func BenchmarkNote(b *testing.B) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	recorder := event.NewRecorder("test", clockwork.NewRealClock(), log, 256)
+	recorder.LimitLog(event.Limit{PerSecond: 1e9, Burst: 1e9})
+	for b.Loop() {
+		recorder.Note(event.JobStarting, event.Subject{Job: "2b07c2306a639cb5"}, event.Fields{
+			"piece": "0.0.12", "run": 2, "workers": []string{"i-814e5feeae"}, "resumes": true, "waited_ms": 26, "fence": 2,
+		})
+	}
+}
--- a/internal/pool/runs.go
+++ b/internal/pool/runs.go
@@ -292,7 +292,11 @@
 	o.touch(j)
 	if len(j.closed) == j.rounds() && !j.over() {
 		o.finishJob(j, workflow.Completed)
-		o.record(event.JobDone, event.Subject{Job: string(j.id())}, event.Fields{"took_ms": o.now.Sub(j.record.Accepted).Milliseconds()})
+		fields := event.Fields{"took_ms": o.now.Sub(j.record.Accepted).Milliseconds()}
+		if objective := j.objective(round); !objective.IsZero() {
+			fields["objective_ms"] = objective.Sub(j.record.Accepted).Milliseconds()
+		}
+		o.record(event.JobDone, event.Subject{Job: string(j.id())}, fields)
 	}
 }
 
--- a/internal/poolhost/host.go
+++ b/internal/poolhost/host.go
@@ -76,6 +76,8 @@
 	// term is set while this host owns the pool.
 	term   *term
 	finals map[model.JobID]finalState
+	// counts holds the latest counts of queues, by name.
+	counts map[string]countOf
 	// waveDue holds when each wave is due, counted from when this host first saw it.
 	waveDue map[int]time.Time
 	down    map[string]bool
@@ -92,6 +94,7 @@
 		cancel:     cancel,
 		waveDue:    map[int]time.Time{},
 		finals:     map[model.JobID]finalState{},
+		counts:     map[string]countOf{},
 		ownerMoved: make(chan struct{}),
 		down:       map[string]bool{},
 	}
--- a/internal/poolhost/host_test.go
+++ b/internal/poolhost/host_test.go
@@ -428,3 +428,23 @@
 	require.Equal(t, a.Address, other.OwnerAddress)
 	require.False(t, ask[poolhost.Explained](t, b, poolhost.ExplainPath+"0000000000000002").Owner)
 }
+
+// A queue's count is shown for a while after its owner is gone, and then no more.
+func TestQueueCountOutlivesItsOwnerForAWhile(t *testing.T) {
+	d := newDeployment(t)
+	a := d.host("a", "a1", 1)
+	eventually(t, "a owns", func() bool { return a.log.has("ownership taken") })
+	b := d.host("b", "b1", 1)
+	eventually(t, "b knows the owner", func() bool { return b.log.has("owner changed") })
+	huge := record("0000000000000001")
+	huge.Spec.Steps[0].PerTask.Accelerators = 64
+	require.Equal(t, outcome.Accepted, a.Submit(ctx(t), huge).Outcome.Kind)
+	eventually(t, "the job is counted", func() bool { count, ok := b.Waiting(ctx(t), "q"); return ok && count == 1 })
+	// The store is away as well, so that b can't take over.
+	b.client.SetFaults(memory.Faults{Down: true})
+	a.die()
+	count, ok := b.Waiting(ctx(t), "q")
+	require.True(t, ok)
+	require.Equal(t, 1, count)
+	eventually(t, "the count is too old", func() bool { _, ok := b.Waiting(ctx(t), "q"); return !ok })
+}
--- a/internal/poolhost/jobs.go
+++ b/internal/poolhost/jobs.go
@@ -136,7 +136,7 @@
 	state        workflow.State
 }
 
-// maxFinals bounds the ends that a host remembers.
+// maxFinals bounds the ends, and the counts of queues, that a host remembers.
 const maxFinals = 4096
 
 // State returns the state of an organisation's job: as the owner knows it or, when the
@@ -276,23 +276,46 @@
 	}
 }
 
-// Waiting counts the accepted jobs of a queue of which no task has started; false
-// means that the owner could not be asked.
+// maxCountAge is the greatest age of a count that is shown, as the users' pages allow.
+const maxCountAge = 2 * time.Second
+
+// countOf is a queue's count as the owner last told it; at is when it was asked.
+type countOf struct {
+	waiting int
+	at      time.Time
+}
+
+// Waiting counts the accepted jobs of a queue of which no task has started; false means
+// that the owner could not be asked, and that its last answer is too old.
 func (h *Host) Waiting(ctx context.Context, queue string) (int, bool) {
+	asked := h.Clock.Now()
+	answer, ok := h.askQueue(ctx, queue)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !ok {
+		last, known := h.counts[queue]
+		return last.waiting, known && h.Clock.Now().Sub(last.at) < maxCountAge
+	}
+	if len(h.counts) >= maxFinals {
+		clear(h.counts)
+	}
+	h.counts[queue] = countOf{waiting: int(answer.Waiting), at: asked}
+	return int(answer.Waiting), true
+}
+
+// askQueue asks the owner for a queue's count; false means that it could not be asked.
+func (h *Host) askQueue(ctx context.Context, queue string) (*rpc.PoolQueueResponse, bool) {
 	if t := h.current(); t != nil {
 		answer := t.queue(queue)
-		return int(answer.Waiting), answer.Owner
+		return answer, answer.Owner
 	}
 	client, ok := h.ownerClient()
 	if !ok {
-		return 0, false
+		return nil, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	answer, err := client.Queue(ctx, &rpc.PoolQueueRequest{Queue: queue})
 	h.notePeer(err)
-	if err != nil || !answer.Owner {
-		return 0, false
-	}
-	return int(answer.Waiting), true
+	return answer, err == nil && answer.Owner
 }
