Short first tries of writes, so that lost answers hold up little

Cause: a write without an answer was given up after 1 s by a host and after 1.5 s by the owner, although the store answers within milliseconds or not at all.

Change: the first try has 300 ms, each further one twice that, up to 1 s (host) and 1.5 s (owner), so that a store that is slow is still waited for. After a lost answer the owner tries again at once. All tries carry the same condition.

Test: TestLostAnswersOfTheStoreHoldUpStartsBriefly, fails with the old times. The simulated store now answers a lost write when its time is over.

--- a/internal/pool/loop.go
+++ b/internal/pool/loop.go
@@ -147,7 +147,7 @@
 
 func (l *Loop) callStore(call *StoreCall) {
 	defer l.calls.Done()
-	ctx, cancel := context.WithTimeout(l.ctx, l.owner.timing.StoreTimeout)
+	ctx, cancel := context.WithTimeout(l.ctx, call.Timeout)
 	defer cancel()
 	result, err := l.ports.Store.Txn(ctx, call.Txn)
 	l.Change(func(o *Owner, now time.Time) { o.StoreDone(call, result, err, now) })
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -24,9 +24,12 @@
 	PlanInterval time.Duration
 	// FlushDelay is how long an end may wait for others to be recorded with it.
 	FlushDelay time.Duration
-	// StoreTimeout bounds one call to the store; StoreRetry is the time to the next try.
-	StoreTimeout time.Duration
-	StoreRetry   time.Duration
+	// StoreTimeout bounds the first try of a call to the store; each further try after one
+	// without an answer has twice the time, up to MaxStoreTimeout. StoreRetry is the time
+	// to the next try after one that was refused.
+	StoreTimeout    time.Duration
+	MaxStoreTimeout time.Duration
+	StoreRetry      time.Duration
 	// LostAfter is how long a worker may not answer before it gets nothing new.
 	LostAfter time.Duration
 	// TakeoverWait is how long after the take-over a worker that can't be reached may
@@ -53,24 +56,25 @@
 // and keep ended jobs for retention.
 func DefaultTiming(workerLease, retention time.Duration) Timing {
 	return Timing{
-		WorkerLease:    workerLease,
-		HoldWait:       min(2*time.Second, workerLease/3),
-		IdleHold:       30 * time.Second,
-		RetryHold:      300 * time.Millisecond,
-		CallTimeout:    700 * time.Millisecond,
-		StartExpiry:    2 * time.Second,
-		StartTries:     3,
-		ClaimPatience:  4 * time.Second,
-		PlanInterval:   25 * time.Millisecond,
-		FlushDelay:     40 * time.Millisecond,
-		StoreTimeout:   1500 * time.Millisecond,
-		StoreRetry:     200 * time.Millisecond,
-		LostAfter:      1500 * time.Millisecond,
-		TakeoverWait:   OwnerHoldGrace + time.Duration(float64(workerLease)/(1-clockDrift)) + 500*time.Millisecond,
-		StopRetry:      300 * time.Millisecond,
-		Retention:      retention,
-		QuarantineBase: 5 * time.Second,
-		QuarantineMax:  time.Minute,
+		WorkerLease:     workerLease,
+		HoldWait:        min(2*time.Second, workerLease/3),
+		IdleHold:        30 * time.Second,
+		RetryHold:       300 * time.Millisecond,
+		CallTimeout:     700 * time.Millisecond,
+		StartExpiry:     2 * time.Second,
+		StartTries:      3,
+		ClaimPatience:   4 * time.Second,
+		PlanInterval:    25 * time.Millisecond,
+		FlushDelay:      40 * time.Millisecond,
+		StoreTimeout:    300 * time.Millisecond,
+		MaxStoreTimeout: 1500 * time.Millisecond,
+		StoreRetry:      200 * time.Millisecond,
+		LostAfter:       1500 * time.Millisecond,
+		TakeoverWait:    OwnerHoldGrace + time.Duration(float64(workerLease)/(1-clockDrift)) + 500*time.Millisecond,
+		StopRetry:       300 * time.Millisecond,
+		Retention:       retention,
+		QuarantineBase:  5 * time.Second,
+		QuarantineMax:   time.Minute,
 	}
 }
 
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -44,6 +44,8 @@
 	planned   time.Time
 	recording bool
 	retryAt   time.Time
+	// unanswered counts the transactions without an answer since the last one with one.
+	unanswered int
 	// changed lists the jobs that may have changes to record.
 	changed []*job
 	// removalsChecked is when jobs to remove were last looked for.
--- a/internal/pool/owner_test.go
+++ b/internal/pool/owner_test.go
@@ -480,3 +480,12 @@
 	w.owner.sync()
 	w.waitFor(10*time.Second, id, workflow.Completed)
 }
+
+// While the store loses answers, starts wait for a few short tries and not for long ones.
+func TestLostAnswersOfTheStoreHoldUpStartsBriefly(t *testing.T) {
+	w := start(t, 1, 1)
+	w.run(time.Second)
+	w.loseWrites, w.lateWrites = 2, 4*time.Second
+	w.submit("a", "aso", normal(), step(1, 1, 10*time.Second))
+	require.True(t, w.runUntil(1200*time.Millisecond, func() bool { return w.runningTasks() == 1 }))
+}
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/chervilrun/chervilrun/internal/event"
 	"github.com/chervilrun/chervilrun/internal/model"
 	"github.com/chervilrun/chervilrun/internal/store"
@@ -18,6 +20,7 @@
 // conditions, so that a failed one shows what has changed.
 type StoreCall struct {
 	Txn     store.Txn
+	Timeout time.Duration
 	writes  []jobWrite
 	removes []*job
 	// wave is the wave whose state is written, through whether it is completed.
@@ -40,6 +43,16 @@
 		o.wakeAt(o.retryAt)
 		return nil
 	}
+	call := o.dueRecord()
+	if call != nil {
+		o.recording = true
+		call.Timeout = min(o.timing.StoreTimeout<<o.unanswered, o.timing.MaxStoreTimeout)
+	}
+	return call
+}
+
+// dueRecord returns what is to be written or removed next.
+func (o *Owner) dueRecord() *StoreCall {
 	if call := o.waveRecord(); call != nil {
 		return call
 	}
@@ -56,7 +69,6 @@
 		call.Txn.Else = append(call.Txn.Else, store.Op{Get: key})
 		call.writes = append(call.writes, write)
 	}
-	o.recording = true
 	return call
 }
 
@@ -119,10 +131,19 @@
 	return append(first, rest...)[:jobsPerRecord]
 }
 
+// maxUnanswered bounds the doubling of the time that a transaction may take.
+const maxUnanswered = 8
+
 // StoreDone takes in the result of a transaction.
 func (o *Owner) StoreDone(call *StoreCall, result store.TxnResult, err error, now time.Time) {
 	o.now = now
 	o.recording = false
+	if errors.Is(err, store.ErrAnswerLost) {
+		// The next try shows whether this one has happened.
+		o.unanswered = min(o.unanswered+1, maxUnanswered)
+		return
+	}
+	o.unanswered = 0
 	switch {
 	case err != nil:
 		o.retryAt = now.Add(o.timing.StoreRetry)
@@ -216,7 +237,6 @@
 		o.removalsChecked = o.now
 		return nil
 	}
-	o.recording = true
 	o.record(event.JobsRemoved, event.Subject{}, event.Fields{"jobs": len(call.removes)})
 	return call
 }
--- a/internal/pool/upkeep.go
+++ b/internal/pool/upkeep.go
@@ -342,7 +342,6 @@
 		key, value := o.upkeep.status(w.Number, through)
 		call := &StoreCall{Txn: o.newTxn(), wave: w, waveCompleted: through}
 		call.Txn.Then = []store.Op{{Put: &store.Put{Key: key, Value: value}}}
-		o.recording = true
 		return call
 	}
 	return nil
--- a/internal/pool/world_test.go
+++ b/internal/pool/world_test.go
@@ -482,8 +482,9 @@
 }
 
 func (w *world) transact(o *fakeOwner, call *pool.StoreCall) {
+	after := w.delay()
 	done := func(result store.TxnResult, err error) {
-		w.after(w.delay(), func() {
+		w.after(after, func() {
 			o.answer(func(owner *pool.Owner, now time.Time) { owner.StoreDone(call, result, err, now) })
 		})
 	}
@@ -492,6 +493,7 @@
 		done(store.TxnResult{}, store.ErrUnavailable)
 	case w.loseWrites > 0:
 		w.loseWrites--
+		after = call.Timeout
 		w.after(w.lateWrites, func() {
 			_, err := w.store.Txn(context.Background(), call.Txn)
 			require.NoError(w.t, err)
--- a/internal/poolhost/jobs.go
+++ b/internal/poolhost/jobs.go
@@ -29,8 +29,10 @@
 	writeRetry = 100 * time.Millisecond
 	// writePatience is how long a write is tried that the store refuses for certain.
 	writePatience = 500 * time.Millisecond
-	// writeTimeout bounds one try.
-	writeTimeout = time.Second
+	// The bounds of a write's tries: the first is short, since an answer comes within a
+	// few milliseconds or is lost; later ones leave time to a store that is slow.
+	firstWriteTimeout = 300 * time.Millisecond
+	maxWriteTimeout   = time.Second
 	// peerTimeout bounds a question to the owner before the store is asked.
 	peerTimeout = 400 * time.Millisecond
 	// storeRetryAfter is what callers are told to wait while the store is away.
@@ -99,8 +101,8 @@
 func (h *Host) write(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
 	began := h.Clock.Now()
 	lost := false
-	for {
-		result, err := h.tryWrite(ctx, txn)
+	for timeout := firstWriteTimeout; ; timeout = min(2*timeout, maxWriteTimeout) {
+		result, err := h.tryWrite(ctx, txn, timeout)
 		if err == nil {
 			return result, nil
 		}
@@ -124,8 +126,8 @@
 	return err
 }
 
-func (h *Host) tryWrite(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+func (h *Host) tryWrite(ctx context.Context, txn store.Txn, timeout time.Duration) (store.TxnResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return h.Store.Txn(ctx, txn)
 }
