Repeat renewals without an answer beside the first

Cause: an owner sent a renewal every 0.4 s and waited up to 0.5 s for each answer.

Change: a renewal without an answer for 150 ms is repeated beside it, at most four under way, so that a silent connection and a slow store are both covered.

Renewals cost a tenth of a read.

Test: TestRenewalWithoutAnswerIsRepeated.

--- a/internal/poolhost/elector.go
+++ b/internal/poolhost/elector.go
@@ -28,9 +28,15 @@
 	// ownerLease is how long the owner's key outlives its last renewal: the time that a
 	// host without power costs, and at least four renewals.
 	ownerLease = 1800 * time.Millisecond
-	// renewInterval is the time between renewals, renewTimeout bounds one.
+	// renewInterval is the time between renewals, and renewAgain the time after which one
+	// without an answer is sent again beside it. renewTimeout bounds one: a later answer
+	// would confirm no more of the lease.
 	renewInterval = 400 * time.Millisecond
-	renewTimeout  = 500 * time.Millisecond
+	renewAgain    = 150 * time.Millisecond
+	renewTimeout  = 1200 * time.Millisecond
+	// renewalsInFlight bounds the renewals under way, so that they leave connections to
+	// other calls while the store is silent.
+	renewalsInFlight = 4
 	// ownerMargin is the part of the lease in which an owner starts nothing any more.
 	ownerMargin = 300 * time.Millisecond
 	// electionTimeout bounds one call of an election.
@@ -292,35 +298,66 @@
 	e.lost(why)
 }
 
+// renewUntilLost renews the lease and returns why the ownership has ended. A renewal
+// without an answer is repeated beside it, since its connection may be silent, or the
+// store slow.
 func (e *elector) renewUntilLost(ctx context.Context) string {
-	for {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	gone, answered := make(chan struct{}, 1), make(chan struct{}, 1)
+	inFlight := make(chan struct{}, renewalsInFlight)
+	for wait := renewInterval; ; {
 		select {
 		case <-ctx.Done():
 			return "the process stops"
 		case <-e.resign:
 			return "a later owner was seen"
-		case <-e.clock.After(renewInterval):
-		}
-		sent := e.clock.Now()
-		err := e.renew(ctx)
-		switch {
-		case err == nil:
-			e.mu.Lock()
-			e.renewed = sent
-			e.mu.Unlock()
-		case errors.Is(err, store.ErrLeaseGone):
+		case <-gone:
 			return "the lease has ended"
+		case <-answered:
+			wait = renewInterval
+			continue
+		case <-e.clock.After(wait):
+		}
+		wait = renewAgain
+		select {
+		case inFlight <- struct{}{}:
+			go func() {
+				e.renew(ctx, answered, gone)
+				<-inFlight
+			}()
+		default:
 		}
 	}
 }
 
-func (e *elector) renew(ctx context.Context) error {
+// renew makes one renewal and tells when it was answered, or that the lease is gone.
+func (e *elector) renew(ctx context.Context, answered, gone chan<- struct{}) {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
+	sent := e.clock.Now()
 	e.mu.Lock()
-	lease := e.lease
+	lease, fence := e.lease, e.fence
 	e.mu.Unlock()
-	return e.store.KeepAlive(ctx, lease)
+	err := e.store.KeepAlive(ctx, lease)
+	switch {
+	case err == nil:
+		e.mu.Lock()
+		if e.fence == fence && sent.After(e.renewed) {
+			e.renewed = sent
+		}
+		e.mu.Unlock()
+		signal(answered)
+	case errors.Is(err, store.ErrLeaseGone):
+		signal(gone)
+	}
+}
+
+func signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
 }
 
 // giveUp removes the owner's key at once, so that another host need not wait for the
