Refuse calls at once while the store is out of reach

Change: failing reads are evidence of an outage; a write without an answer asks for one. During an outage nothing is written any more: calls wait up to 0.5 s from its begin, later ones are refused at once with 503, which is true, and are told to come again after as long as the outage has lasted, 1 s to 4 s. What an owner could not read is forgotten when its term ends.

--- a/internal/poolhost/host.go
+++ b/internal/poolhost/host.go
@@ -81,6 +81,8 @@
 	// waveDue holds when each wave is due, counted from when this host first saw it.
 	waveDue map[int]time.Time
 	down    map[string]bool
+	// outage tells whether the store can be reached.
+	outage *outage
 }
 
 // New starts a host.
@@ -97,6 +99,7 @@
 		counts:     map[string]countOf{},
 		ownerMoved: make(chan struct{}),
 		down:       map[string]bool{},
+		outage:     newOutage(),
 	}
 	self := ownerValue{Host: o.Name, Address: o.Address, Incarnation: o.Incarnation, Weight: o.Weight}
 	h.elector = newElector(o.Store, o.Clock, self, o.Events)
@@ -133,6 +136,7 @@
 
 // noteStore records when a directory is lost and when it can be read again.
 func (h *Host) noteStore(what string, err error) {
+	h.outage.note(what, err, h.Clock.Now())
 	h.mu.Lock()
 	before := h.down[what]
 	h.down[what] = err != nil
@@ -145,6 +149,18 @@
 	}
 }
 
+// forgetReads drops what is known of reads that are not made any more.
+func (h *Host) forgetReads(reads ...string) {
+	h.mu.Lock()
+	for _, read := range reads {
+		delete(h.down, read)
+	}
+	h.mu.Unlock()
+	for _, read := range reads {
+		h.outage.note(read, nil, h.Clock.Now())
+	}
+}
+
 func (h *Host) takeConfig(state mirror.State) {
 	current, _, _ := h.directory.get()
 	if len(state.Changed) == 0 && current != nil {
--- a/internal/poolhost/host_test.go
+++ b/internal/poolhost/host_test.go
@@ -448,3 +448,23 @@
 	require.Equal(t, 1, count)
 	eventually(t, "the count is too old", func() bool { _, ok := b.Waiting(ctx(t), "q"); return !ok })
 }
+
+// Once the store is known to be silent, calls are refused without a write, so that their
+// callers may come again; the first ones may have been written.
+func TestCallsAreRefusedForCertainDuringAnOutage(t *testing.T) {
+	d := newDeployment(t)
+	a := d.host("a", "a1", 1)
+	eventually(t, "host is ready", a.Ready)
+	a.client.SetFaults(memory.Faults{AnswerDelay: time.Hour})
+	short, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	require.Equal(t, outcome.Unknown, a.Submit(short, record("0000000000000001")).Outcome.Kind)
+	eventually(t, "the outage is known", func() bool { return len(a.Status().Lost) > 0 })
+	answer := a.Submit(ctx(t), record("0000000000000002"))
+	require.Equal(t, outcome.NotRun, answer.Outcome.Kind)
+	require.Positive(t, answer.RetryAfter)
+	a.client.SetFaults(memory.Faults{})
+	eventually(t, "jobs are accepted again", func() bool {
+		return a.Submit(ctx(t), record("0000000000000002")).Outcome.Kind == outcome.Accepted
+	})
+}
--- a/internal/poolhost/jobs.go
+++ b/internal/poolhost/jobs.go
@@ -35,8 +35,6 @@
 	maxWriteTimeout   = time.Second
 	// peerTimeout bounds a question to the owner before the store is asked.
 	peerTimeout = 400 * time.Millisecond
-	// storeRetryAfter is what callers are told to wait while the store is away.
-	storeRetryAfter = time.Second
 )
 
 // Submit accepts a job: it is accepted when its record is written. The same job
@@ -92,13 +90,16 @@
 	}
 	return Answer{
 		Outcome:    outcome.NotRunBecause(outcome.ReasonStoreUnavailable, "the store can't be written"),
-		RetryAfter: storeRetryAfter,
+		RetryAfter: h.RetryAfter(),
 	}
 }
 
 // write makes a conditional write until its outcome is known or ctx ends. Once a try
 // had no answer, later refusals prove nothing, and the error wraps ErrAnswerLost.
 func (h *Host) write(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
+	if err := h.awaitStore(ctx); err != nil {
+		return store.TxnResult{}, err
+	}
 	began := h.Clock.Now()
 	lost := false
 	for timeout := firstWriteTimeout; ; timeout = min(2*timeout, maxWriteTimeout) {
@@ -106,7 +107,10 @@
 		if err == nil {
 			return result, nil
 		}
-		lost = lost || errors.Is(err, store.ErrAnswerLost)
+		if errors.Is(err, store.ErrAnswerLost) {
+			lost = true
+			h.suspectStore()
+		}
 		waited := h.Clock.Now().Sub(began)
 		if ctx.Err() != nil || !lost && waited >= writePatience {
 			return store.TxnResult{}, asLost(err, lost)
