Reserve room for urgent work that waits

Cause: small tasks of low priority went on to fill room while gangs and tasks for whole workers waited for it; those then stopped them, and they were placed again within a tenth of a second, to be stopped again.

Ruled out: that stops are too cheap in the search.

Tests: TestSmallTasksLeaveRoomToAGangThatWaits and TestSmallTasksLeaveAWorkerToALargeTaskThatWaits fail without it, TestReservationsAreBounded.

--- a/internal/scheduler/pool/headroom.go
+++ b/internal/scheduler/pool/headroom.go
@@ -23,6 +23,7 @@
 			p.room.total++
 		}
 	}
+	p.reservable = int(maxReserved * float64(capacity))
 	for priority, peak := range p.s.Peaks {
 		missing := min(peak-p.s.UseAbove(priority), int(maxHeadroom*float64(capacity)))
 		p.room.keep[priority] = max(0, (missing+largest-1)/largest)
--- a/internal/scheduler/pool/plan.go
+++ b/internal/scheduler/pool/plan.go
@@ -32,6 +32,11 @@
 	// scratch is the list of victims that is being put together.
 	scratch []victim
 	room    headroom
+	// reservations are not yet booked; reservable is the number of accelerators that may
+	// still be reserved, and reserved holds the workers on which some are.
+	reservations []reservation
+	reservable   int
+	reserved     map[int]bool
 }
 
 // Plan returns where waiting pieces go, most important first.
@@ -43,9 +48,11 @@
 		if blocked[piece.Class] {
 			continue
 		}
+		p.applyReservations(piece.Priority)
 		placement, ok := p.place(piece)
 		if !ok {
 			blocked[piece.Class] = piece.Class != ""
+			p.reserve(piece)
 			continue
 		}
 		placements = append(placements, placement)
@@ -63,6 +70,8 @@
 		covered: map[*Run]bool{},
 		evicted: map[*Run]bool{},
 		placed:  map[string]map[model.WorkerID]int{},
+
+		reserved: map[int]bool{},
 	}
 	for i := range p.workers {
 		w := &p.workers[i]
--- a/internal/scheduler/pool/plan_test.go
+++ b/internal/scheduler/pool/plan_test.go
@@ -230,6 +230,69 @@
 	require.Equal(t, []pool.PieceID{"borrower2"}, placements[0].Evict)
 }
 
+// A gang waits for a rack while a stream of small tasks could fill each worker as it comes
+// free: they leave the rack that is nearest to free, and use the other.
+func TestSmallTasksLeaveRoomToAGangThatWaits(t *testing.T) {
+	s := &pool.Snapshot{Now: begin, Workers: workers(8)}
+	use(s, &pool.Run{Piece: "one", Priority: 1}, resources(8), "w0-0")
+	use(s, &pool.Run{Piece: "two", Priority: 1}, resources(8), "w1-0", "w1-1")
+	for _, w := range s.Workers[8:] {
+		use(s, &pool.Run{Piece: pool.PieceID(w.ID), Priority: 1}, resources(8), w.ID)
+	}
+	waiting := piece("gang", 4, 8)
+	waiting.SameRack = true
+	s.Waiting = []*pool.Piece{waiting}
+	for i := range 32 {
+		p := piece(fmt.Sprintf("batch%02d", i), 1, 1)
+		p.Priority, p.Class = 2, ""
+		s.Waiting = append(s.Waiting, p)
+	}
+	placements := pool.Plan(s)
+	require.Len(t, placements, 16)
+	for _, placement := range placements {
+		require.Contains(t, []model.WorkerID{"w1-2", "w1-3"}, placement.Workers[0])
+	}
+}
+
+// A task for a whole worker waits: the worker nearest to free is drained for it.
+func TestSmallTasksLeaveAWorkerToALargeTaskThatWaits(t *testing.T) {
+	s := &pool.Snapshot{Now: begin, Workers: workers(4)}
+	for i, w := range s.Workers {
+		use(s, &pool.Run{Piece: pool.PieceID(fmt.Sprintf("run%02d", i)), Priority: 1}, resources(6+min(i, 1)), w.ID)
+	}
+	s.Waiting = []*pool.Piece{piece("large", 1, 8)}
+	for i := range 32 {
+		p := piece(fmt.Sprintf("batch%02d", i), 1, 1)
+		p.Priority, p.Class = 2, ""
+		s.Waiting = append(s.Waiting, p)
+	}
+	placements := pool.Plan(s)
+	require.Len(t, placements, 15)
+	for _, placement := range placements {
+		require.NotEqual(t, model.WorkerID("w0-0"), placement.Workers[0])
+	}
+}
+
+// Work that is late already reserves nothing, and neither does more than a share of the pool.
+func TestReservationsAreBounded(t *testing.T) {
+	batch := func(s *pool.Snapshot) int {
+		for i := range 64 {
+			p := piece(fmt.Sprintf("batch%02d", i), 1, 1)
+			p.Priority, p.Class = 2, ""
+			s.Waiting = append(s.Waiting, p)
+		}
+		return len(pool.Plan(s))
+	}
+	s := &pool.Snapshot{Now: begin, Workers: workers(4)}
+	for i, w := range s.Workers {
+		use(s, &pool.Run{Piece: pool.PieceID(fmt.Sprintf("run%02d", i)), Priority: 1}, resources(7), w.ID)
+	}
+	late := piece("late", 1, 8)
+	late.Objective = begin.Add(time.Second)
+	s.Waiting = []*pool.Piece{late, piece("larger than the share", 3, 8)}
+	require.Equal(t, 16, batch(s))
+}
+
 // Urgent work beyond the guarantee stops nothing that a guarantee of its own covers.
 func TestCoveredRunsAreNotStopped(t *testing.T) {
 	s, _ := full(0)
