A lost answer followed by refusals: a test that notices the mutant

Cause: with shorter tries TestUnknownWhileTheWriteMayStillHappen no longer noticed the mutant that forgets a lost answer; the test stays.

Change: TestUnknownAlthoughLaterTriesAreRefused scripts the outcomes of the writes, and the mutant names it.

--- a/internal/poolhost/host_test.go
+++ b/internal/poolhost/host_test.go
@@ -40,6 +40,31 @@
 	clock   *clockwork.FakeClock
 	store   *memory.Store
 	workers *fakeWorkers
+	// jobWrites scripts the outcomes of writes of jobs, when it is set; nil writes.
+	jobWrites []error
+}
+
+// scriptedStore fails writes of jobs as a test says, the last way from then on.
+type scriptedStore struct {
+	store.Store
+	mu       sync.Mutex
+	outcomes []error
+}
+
+func (s *scriptedStore) Txn(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
+	if len(txn.Then) == 0 || txn.Then[0].Put == nil || !strings.HasPrefix(txn.Then[0].Put.Key, store.PoolInputPrefix) {
+		return s.Store.Txn(ctx, txn)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	err := s.outcomes[0]
+	if len(s.outcomes) > 1 {
+		s.outcomes = s.outcomes[1:]
+	}
+	if err == nil {
+		return s.Store.Txn(ctx, txn)
+	}
+	return store.TxnResult{}, err
 }
 
 func newDeployment(t *testing.T) *deployment {
@@ -160,11 +185,15 @@
 	log.SetOutput(buffer)
 	clock := clockwork.NewRealClock()
 	h := &testHost{client: d.store.Client(), log: buffer}
+	var kv store.Store = h.client
+	if d.jobWrites != nil {
+		kv = &scriptedStore{Store: h.client, outcomes: d.jobWrites}
+	}
 	var handler http.Handler
 	h.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { handler.ServeHTTP(w, r) }))
 	h.Host = poolhost.New(poolhost.Options{
 		Name: name, Incarnation: incarnation, Address: strings.TrimPrefix(h.server.URL, "http://"), Weight: weight,
-		Store: h.client, ConfigStore: h.client, WorkersStore: h.client, Workers: d.workers,
+		Store: kv, ConfigStore: h.client, WorkersStore: h.client, Workers: d.workers,
 		Directories: poolhost.Directories{
 			ConfigPrefix: configPrefix, DecodeConfig: decodeTestConfig,
 			WorkersPrefix: workersPrefix, DecodeWorker: decodeTestWorker,
@@ -468,3 +497,14 @@
 		return a.Submit(ctx(t), record("0000000000000002")).Outcome.Kind == outcome.Accepted
 	})
 }
+
+// A try without an answer may still be carried out, so that later refusals prove nothing.
+func TestUnknownAlthoughLaterTriesAreRefused(t *testing.T) {
+	d := newDeployment(t)
+	d.jobWrites = []error{store.ErrAnswerLost, store.ErrUnavailable}
+	a := d.host("a", "a1", 1)
+	eventually(t, "host is ready", a.Ready)
+	short, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	require.Equal(t, outcome.Unknown, a.Submit(short, record("0000000000000001")).Outcome.Kind)
+}
