--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -43,7 +43,9 @@
 	dirty     bool
 	planned   time.Time
 	recording bool
-	retryAt   time.Time
+	// recordSent is when the latest transaction left.
+	recordSent time.Time
+	retryAt    time.Time
 	// unanswered counts the transactions without an answer since the last one with one.
 	unanswered int
 	// changed lists the jobs that may have changes to record.
--- a/internal/pool/owner_test.go
+++ b/internal/pool/owner_test.go
@@ -489,3 +489,16 @@
 	w.submit("a", "aso", normal(), step(1, 1, 10*time.Second))
 	require.True(t, w.runUntil(1200*time.Millisecond, func() bool { return w.runningTasks() == 1 }))
 }
+
+// A store that resets each write at once is not asked more often than it would be after
+// a refusal.
+func TestResetWritesAreNotRepeatedAtOnce(t *testing.T) {
+	w := start(t, 1, 1)
+	w.run(time.Second)
+	w.resetWrites = true
+	w.submit("a", "aso", normal(), step(1, 1, time.Second))
+	w.run(2 * time.Second)
+	require.LessOrEqual(t, w.transactions, 11)
+	w.resetWrites = false
+	w.waitFor(3*time.Second, "a", workflow.Completed)
+}
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -45,7 +45,7 @@
 	}
 	call := o.dueRecord()
 	if call != nil {
-		o.recording = true
+		o.recording, o.recordSent = true, o.now
 		call.Timeout = min(o.timing.StoreTimeout<<o.unanswered, o.timing.MaxStoreTimeout)
 	}
 	return call
@@ -139,7 +139,9 @@
 	o.now = now
 	o.recording = false
 	if errors.Is(err, store.ErrAnswerLost) {
-		// The next try shows whether this one has happened.
+		// The next try shows whether this one has happened. A connection that is reset at
+		// once must not lead to a try each millisecond.
+		o.retryAt = o.recordSent.Add(o.timing.StoreRetry)
 		o.unanswered = min(o.unanswered+1, maxUnanswered)
 		return
 	}
--- a/internal/pool/world_test.go
+++ b/internal/pool/world_test.go
@@ -51,9 +51,13 @@
 	cut map[model.WorkerID]bool
 	// storeDown refuses every transaction, loseWrites loses answers, lateWrites delays
 	// the effect of writes whose answer is lost.
-	storeDown  bool
-	loseWrites int
-	lateWrites time.Duration
+	// resetWrites loses every answer at once and carries nothing out; transactions counts
+	// the transactions while it does.
+	storeDown    bool
+	resetWrites  bool
+	transactions int
+	loseWrites   int
+	lateWrites   time.Duration
 
 	// good tells which workers the adviser allows; machines are those in upkeep, with
 	// when it began, and upkept those that were, by wave.
@@ -489,6 +493,9 @@
 		})
 	}
 	switch {
+	case w.resetWrites:
+		w.transactions++
+		done(store.TxnResult{}, store.ErrAnswerLost)
 	case w.storeDown:
 		done(store.TxnResult{}, store.ErrUnavailable)
 	case w.loseWrites > 0:
