--- a/internal/pool/index.go
+++ b/internal/pool/index.go
@@ -92,22 +92,3 @@
 		}
 	}
 }
-
-// vanish notes that a part of a run does not exist.
-func (o *Owner) vanish(m *member) {
-	m.phase = memberGone
-	o.forgetRun(m.piece)
-}
-
-// touch notes a change of a job that has to be recorded.
-func (o *Owner) touch(j *job) uint64 {
-	if j.durable() {
-		j.urgentSince = o.now
-	}
-	if !j.changedListed {
-		j.changedListed = true
-		o.changed = append(o.changed, j)
-	}
-	j.changed++
-	return j.changed
-}
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -34,6 +34,19 @@
 	value  []byte
 }
 
+// touch notes a change of a job that has to be recorded.
+func (o *Owner) touch(j *job) uint64 {
+	if j.durable() {
+		j.urgentSince = o.now
+	}
+	if !j.changedListed {
+		j.changedListed = true
+		o.changed = append(o.changed, j)
+	}
+	j.changed++
+	return j.changed
+}
+
 // nextRecord returns the next transaction, if one is due and none is under way.
 func (o *Owner) nextRecord() *StoreCall {
 	if o.recording {
--- a/internal/pool/runs.go
+++ b/internal/pool/runs.go
@@ -193,6 +193,12 @@
 	o.stopPiece(p, "part_"+string(cause))
 }
 
+// vanish notes that a part of a run does not exist.
+func (o *Owner) vanish(m *member) {
+	m.phase = memberGone
+	o.forgetRun(m.piece)
+}
+
 // countFailure counts a failed run once, however many of its parts failed.
 func (o *Owner) countFailure(p *piece, m *member) {
 	if p.failedRun == p.run {
--- a/internal/scheduler/pool/reserve.go
+++ b/internal/scheduler/pool/reserve.go
@@ -7,7 +7,8 @@
 	"github.com/chervilrun/chervilrun/internal/model"
 )
 
-// maxReserved bounds the accelerators that are reserved, as a share of the pool.
+// maxReserved bounds the accelerators that are reserved, as a share of the pool: no more
+// than that stays idle for work that waits.
 const maxReserved = 0.15
 
 // reservation is room on a worker that work of lower priority has to leave.
