--- a/internal/pool/world_test.go
+++ b/internal/pool/world_test.go
@@ -1,7 +1,6 @@
 package pool_test
 
 import (
-	"container/heap"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -14,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"github.com/chervilrun/chervilrun/internal/agenda"
 	"github.com/chervilrun/chervilrun/internal/model"
 	"github.com/chervilrun/chervilrun/internal/pool"
 	"github.com/chervilrun/chervilrun/internal/store"
@@ -37,8 +37,7 @@
 	rng     *rand.Rand
 	clock   *clockwork.FakeClock
 	store   *memory.Store
-	agenda  agenda
-	serial  int
+	agenda  *agenda.Agenda
 	workers map[model.WorkerID]*fakeWorker
 	ids     []model.WorkerID
 	owner   *fakeOwner
@@ -69,33 +68,10 @@
 	audit audit
 }
 
-type entry struct {
-	at     time.Time
-	serial int
-	do     func()
-}
-
-type agenda []entry
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	if !a[i].at.Equal(a[j].at) {
-		return a[i].at.Before(a[j].at)
-	}
-	return a[i].serial < a[j].serial
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(entry)) }
-func (a *agenda) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
-}
-
 func newWorld(t require.TestingT, seed uint64, racks, perRack int) *world {
 	clock := clockwork.NewFakeClockAt(begin)
 	w := &world{
-		t: t, rng: rand.New(rand.NewPCG(seed, 1)), clock: clock, store: memory.New(clock),
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), clock: clock, store: memory.New(clock), agenda: agenda.New(clock),
 		workers: map[model.WorkerID]*fakeWorker{}, cut: map[model.WorkerID]bool{},
 		policy:   pool.Policy{Guarantees: map[model.OrganisationID]int{}, Out: map[model.AvailabilityZoneID]bool{}},
 		records:  map[model.JobID]*workflow.Record{},
@@ -125,30 +101,11 @@
 
 func (w *world) now() time.Time { return w.clock.Now() }
 
-func (w *world) after(d time.Duration, do func()) {
-	w.serial++
-	heap.Push(&w.agenda, entry{at: w.now().Add(d), serial: w.serial, do: do})
-}
+func (w *world) after(d time.Duration, do func()) { w.agenda.After(d, do) }
 
-// run plays until d has passed.
-func (w *world) run(d time.Duration) { w.runUntil(d, func() bool { return false }) }
+func (w *world) run(d time.Duration) { w.agenda.Run(d) }
 
-// runUntil plays until a condition holds, at most d, and reports whether it holds.
-func (w *world) runUntil(d time.Duration, done func() bool) bool {
-	end := w.now().Add(d)
-	for !done() {
-		if len(w.agenda) == 0 || w.agenda[0].at.After(end) {
-			w.clock.Advance(end.Sub(w.now()))
-			return done()
-		}
-		next := heap.Pop(&w.agenda).(entry)
-		if next.at.After(w.now()) {
-			w.clock.Advance(next.at.Sub(w.now()))
-		}
-		next.do()
-	}
-	return true
-}
+func (w *world) runUntil(d time.Duration, done func() bool) bool { return w.agenda.RunUntil(d, done) }
 
 func (w *world) delay() time.Duration {
 	return time.Duration(500+w.rng.IntN(2000)) * time.Microsecond
--- a/internal/zone/world_test.go
+++ b/internal/zone/world_test.go
@@ -1,7 +1,6 @@
 package zone_test
 
 import (
-	"container/heap"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -12,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"github.com/chervilrun/chervilrun/internal/agenda"
 	"github.com/chervilrun/chervilrun/internal/config"
 	"github.com/chervilrun/chervilrun/internal/job"
 	"github.com/chervilrun/chervilrun/internal/model"
@@ -37,8 +37,7 @@
 	store  *memory.Store
 	pool   *pool.Pool
 	zones  []*worldZone
-	queue  agenda
-	serial int
+	agenda *agenda.Agenda
 
 	storeDown  bool
 	loseWrites int // the next writes take effect and lose their answer
@@ -62,29 +61,6 @@
 	owner *owner
 }
 
-type plan struct {
-	at     time.Time
-	serial int
-	do     func()
-}
-
-type agenda []plan
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	if !a[i].at.Equal(a[j].at) {
-		return a[i].at.Before(a[j].at)
-	}
-	return a[i].serial < a[j].serial
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(plan)) }
-func (a *agenda) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
-}
-
 func newWorld(t require.TestingT, seed uint64, workersPerZone int) *world {
 	start := time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
 	clock := clockwork.NewFakeClockAt(start)
@@ -93,6 +69,7 @@
 		clock:    clock,
 		rng:      rand.New(rand.NewPCG(seed, 1)),
 		store:    memory.New(clock),
+		agenda:   agenda.New(clock),
 		pool:     pool.New(clock),
 		lateBy:   4 * time.Second,
 		timing:   zone.DefaultTiming(),
@@ -121,23 +98,10 @@
 
 func (w *world) now() time.Time { return w.clock.Now() }
 
-func (w *world) after(d time.Duration, do func()) {
-	w.serial++
-	heap.Push(&w.queue, plan{w.now().Add(d), w.serial, do})
-}
+func (w *world) after(d time.Duration, do func()) { w.agenda.After(d, do) }
 
 // run lets the given time pass.
-func (w *world) run(d time.Duration) {
-	end := w.now().Add(d)
-	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
-		next := heap.Pop(&w.queue).(plan)
-		if next.at.After(w.now()) {
-			w.clock.Advance(next.at.Sub(w.now()))
-		}
-		next.do()
-	}
-	w.clock.Advance(end.Sub(w.now()))
-}
+func (w *world) run(d time.Duration) { w.agenda.Run(d) }
 
 // until runs until the condition holds, at most for the limit.
 func (w *world) until(limit time.Duration, holds func() bool) bool {
