The status of a wave never goes back

Cause: the status was written under the owner's key alone, so that a "running" whose answer was lost and that was carried out late replaced "completed" for good.

Change: the write has the condition that the status is the one last seen; a refusal shows what is there. Ruled out: a late write of an earlier owner, which its fence refuses.

Tests: TestStatusOfAWaveNeverGoesBack fails without it, TestStatusOfAWaveAfterATakeOver.

--- a/internal/pool/platform_test.go
+++ b/internal/pool/platform_test.go
@@ -84,6 +84,39 @@
 	w.waitFor(time.Minute, id, workflow.Completed)
 }
 
+// A status that is written late, since its answer was lost, does not replace a later one.
+func TestStatusOfAWaveNeverGoesBack(t *testing.T) {
+	w := start(t, 1, 1)
+	w.cap = 1
+	w.run(time.Second)
+	w.loseWrites, w.lateWrites = 1, 12*time.Second
+	w.owner.owner.SetUpkeep(upkeepTime, status)
+	machines := []pool.MachineID{machineOf(w.workers[w.ids[0]])}
+	w.owner.owner.SetWaves([]pool.Wave{{Number: 1, Machines: machines, Cap: 1, Due: w.now().Add(20 * time.Second)}}, w.now())
+	require.True(t, w.runUntil(10*time.Second, func() bool { return w.waveState(1) == "completed" }))
+	w.run(15 * time.Second)
+	require.Equal(t, "completed", w.waveState(1))
+}
+
+// A new owner finds the status of an earlier one and goes on from it.
+func TestStatusOfAWaveAfterATakeOver(t *testing.T) {
+	w := start(t, 1, 2)
+	w.cap = 1
+	var machines []pool.MachineID
+	for _, id := range w.ids {
+		machines = append(machines, machineOf(w.workers[id]))
+	}
+	wave := pool.Wave{Number: 1, Machines: machines, Cap: 1, Due: w.now().Add(time.Minute)}
+	w.owner.owner.SetUpkeep(upkeepTime, status)
+	w.owner.owner.SetWaves([]pool.Wave{wave}, w.now())
+	require.True(t, w.runUntil(10*time.Second, func() bool { return w.waveState(1) == "running" }))
+	w.owner.stopped = true
+	w.takeOver()
+	w.owner.owner.SetUpkeep(upkeepTime, status)
+	w.owner.owner.SetWaves([]pool.Wave{wave}, w.now())
+	require.True(t, w.runUntil(time.Minute, func() bool { return w.waveState(1) == "completed" }))
+}
+
 // Tasks that fill are slowed down until the tasks that serve beside them keep their
 // target, and no further.
 func TestFillersYieldToServingTasks(t *testing.T) {
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -174,7 +174,7 @@
 		write.job.revision = revision
 		write.job.recorded = write.change
 	}
-	o.waveRecorded(call)
+	o.waveRecorded(call, revision)
 	for _, j := range call.removes {
 		o.jobs.remove(j.id())
 	}
@@ -197,6 +197,7 @@
 		o.depose("store", "")
 		return
 	}
+	o.waveRefused(call, values)
 	for _, write := range call.writes {
 		found := values[store.PoolProgressKey(write.job.id())]
 		if found == nil {
--- a/internal/pool/upkeep.go
+++ b/internal/pool/upkeep.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"bytes"
 	"context"
 	"slices"
 	"time"
@@ -66,6 +67,8 @@
 	// announced and finished say which status is written.
 	announced bool
 	finished  bool
+	// revision is that of the status as it was last seen; 0 when there is none.
+	revision store.Revision
 }
 
 type waveMachine struct {
@@ -341,13 +344,15 @@
 		}
 		key, value := o.upkeep.status(w.Number, through)
 		call := &StoreCall{Txn: o.newTxn(), wave: w, waveCompleted: through}
+		call.Txn.If = append(call.Txn.If, store.Unchanged(key, w.revision))
 		call.Txn.Then = []store.Op{{Put: &store.Put{Key: key, Value: value}}}
+		call.Txn.Else = append(call.Txn.Else, store.Op{Get: key})
 		return call
 	}
 	return nil
 }
 
-// through reports whether every machine that stays has had its upkeep.
+// completed reports whether every machine that stays has had its upkeep.
 func (w *wave) completed() bool {
 	for _, m := range w.machines {
 		if !m.done {
@@ -357,13 +362,33 @@
 	return true
 }
 
-func (o *Owner) waveRecorded(call *StoreCall) {
+// waveRecorded notes that the status of a wave is written, if the call wrote one.
+func (o *Owner) waveRecorded(call *StoreCall, revision store.Revision) {
 	if call.wave == nil {
 		return
 	}
+	call.wave.revision = revision
 	call.wave.announced = true
 	call.wave.finished = call.waveCompleted
 	if call.waveCompleted {
 		o.record(event.WaveCompleted, event.Subject{}, event.Fields{"wave": call.wave.Number, "late_ms": max(0, o.now.Sub(call.wave.Due).Milliseconds())})
 	}
 }
+
+// waveRefused looks at the status that is there: it is the one whose answer was lost, or
+// that of an earlier owner, which the next try replaces.
+func (o *Owner) waveRefused(call *StoreCall, values map[string]*store.KeyValue) {
+	if call.wave == nil {
+		return
+	}
+	put := call.Txn.Then[0].Put
+	found := values[put.Key]
+	switch {
+	case found == nil:
+		call.wave.revision = 0
+	case bytes.Equal(found.Value, put.Value):
+		o.waveRecorded(call, found.ModRevision)
+	default:
+		call.wave.revision = found.ModRevision
+	}
+}
