--- a/internal/pool/planning.go
+++ b/internal/pool/planning.go
@@ -47,7 +47,9 @@
 		byService[service] = append(byService[service], o.planPiece(p))
 	}
 	for _, service := range slices.Sorted(maps.Keys(byService)) {
-		for _, placement := range plan.Plan(o.snapshot(service, byService[service])) {
+		snapshot := o.snapshot(service, byService[service])
+		o.keepPeaks(service, snapshot)
+		for _, placement := range plan.Plan(snapshot) {
 			o.claim(placement)
 		}
 	}
@@ -108,6 +110,7 @@
 	return count
 }
 
+// snapshot is the state of a service as plans see it. It changes nothing of the owner.
 func (o *Owner) snapshot(service model.ServiceID, waiting []*plan.Piece) *plan.Snapshot {
 	s := &plan.Snapshot{Now: o.now, Waiting: waiting, Guarantees: o.policy.Guarantees, Use: map[int]int{}, Peaks: map[int]int{}}
 	for id, w := range o.workers.all() {
@@ -132,7 +135,9 @@
 			s.Use[key.priority] = use
 		}
 	}
-	o.notePeaks(service, s)
+	for _, piece := range waiting {
+		s.Peaks[piece.Priority] = int(o.peakNow(service, piece.Priority, s))
+	}
 	return s
 }
 
@@ -173,18 +178,18 @@
 	priority int
 }
 
-// notePeaks brings the peaks of urgent use up to the present and shows them to the plan.
-func (o *Owner) notePeaks(service model.ServiceID, s *plan.Snapshot) {
-	for _, waiting := range s.Waiting {
-		s.Peaks[waiting.Priority] = 0
-	}
+// peakNow is the peak of use above a priority at present: the use, or the last peak as it
+// has decayed.
+func (o *Owner) peakNow(service model.ServiceID, priority int, s *plan.Snapshot) float64 {
+	last := o.peaks[peakKey{service, priority}]
+	decayed := last.value * math.Exp(-o.now.Sub(last.at).Seconds()/peakDecay.Seconds())
+	return max(float64(s.UseAbove(priority)), decayed)
+}
+
+// keepPeaks keeps the peaks of a service as they are now, by priority.
+func (o *Owner) keepPeaks(service model.ServiceID, s *plan.Snapshot) {
 	for priority := range s.Peaks {
-		use := s.UseAbove(priority)
-		key := peakKey{service, priority}
-		last := o.peaks[key]
-		decayed := last.value * math.Exp(-o.now.Sub(last.at).Seconds()/peakDecay.Seconds())
-		o.peaks[key] = peak{value: max(float64(use), decayed), at: o.now}
-		s.Peaks[priority] = int(o.peaks[key].value)
+		o.peaks[peakKey{service, priority}] = peak{value: o.peakNow(service, priority, s), at: o.now}
 	}
 }
 
--- a/internal/poolhost/host.go
+++ b/internal/poolhost/host.go
@@ -80,7 +80,8 @@
 	counts map[string]countOf
 	// waveDue holds when each wave is due, counted from when this host first saw it.
 	waveDue map[int]time.Time
-	down    map[string]bool
+	// ownerSilent is true while the owner does not answer this host.
+	ownerSilent bool
 	// outage tells whether the store can be reached.
 	outage *outage
 }
@@ -98,7 +99,6 @@
 		finals:     map[model.JobID]finalState{},
 		counts:     map[string]countOf{},
 		ownerMoved: make(chan struct{}),
-		down:       map[string]bool{},
 		outage:     newOutage(),
 	}
 	self := ownerValue{Host: o.Name, Address: o.Address, Incarnation: o.Incarnation, Weight: o.Weight}
@@ -136,31 +136,15 @@
 
 // noteStore records when a directory is lost and when it can be read again.
 func (h *Host) noteStore(what string, err error) {
-	h.outage.note(what, err, h.Clock.Now())
-	h.mu.Lock()
-	before := h.down[what]
-	h.down[what] = err != nil
-	h.mu.Unlock()
+	changed := h.outage.note(what, err, h.Clock.Now())
 	switch {
-	case err != nil && !before:
+	case changed && err != nil:
 		h.Events.Note(event.StoreUnavailable, event.Subject{}, event.Fields{"call": "follow", "what": what, "why": err.Error()})
-	case err == nil && before:
+	case changed:
 		h.Events.Note(event.StoreRecovered, event.Subject{}, event.Fields{"call": "follow", "what": what})
 	}
 }
 
-// forgetReads drops what is known of reads that are not made any more.
-func (h *Host) forgetReads(reads ...string) {
-	h.mu.Lock()
-	for _, read := range reads {
-		delete(h.down, read)
-	}
-	h.mu.Unlock()
-	for _, read := range reads {
-		h.outage.note(read, nil, h.Clock.Now())
-	}
-}
-
 func (h *Host) takeConfig(state mirror.State) {
 	current, _, _ := h.directory.get()
 	if len(state.Changed) == 0 && current != nil {
--- a/internal/poolhost/inspect.go
+++ b/internal/poolhost/inspect.go
@@ -28,7 +28,7 @@
 	// Owner is the host that owns the pool as this host knows it; empty when none does.
 	Owner        string `json:"owner"`
 	OwnerAddress string `json:"owner_address"`
-	// Lost lists what the host can't reach now.
+	// Lost lists the reads of the store that fail now, and the owner if it is silent.
 	Lost []string `json:"lost"`
 	// Term is set when this host owns the pool.
 	Term *TermStatus `json:"term,omitempty"`
@@ -54,16 +54,14 @@
 // Status returns what the host knows of itself and of the pool.
 func (h *Host) Status() Status {
 	config, age, fresh := h.directory.get()
-	s := Status{Host: h.Name, Incarnation: h.Incarnation, ConfigConfirmed: fresh, ConfigAgeMS: age.Milliseconds(), Lost: []string{}}
+	s := Status{Host: h.Name, Incarnation: h.Incarnation, ConfigConfirmed: fresh, ConfigAgeMS: age.Milliseconds(), Lost: append([]string{}, h.outage.reads()...)}
 	if config != nil {
 		s.ConfigVersion = config.Version
 	}
 	h.mu.Lock()
 	s.Owner, s.OwnerAddress = h.owner.Host, h.owner.Address
-	for what, down := range h.down {
-		if down {
-			s.Lost = append(s.Lost, what)
-		}
+	if h.ownerSilent {
+		s.Lost = append(s.Lost, "owner's answers")
 	}
 	h.mu.Unlock()
 	if t := h.current(); t != nil {
--- a/internal/poolhost/outage.go
+++ b/internal/poolhost/outage.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,32 +31,56 @@
 // for certain, while a write may also have lost just its answer.
 type outage struct {
 	mu sync.Mutex
-	// lost holds the reads that fail now, since when one does, and over what ends the wait
-	// for the last of them to work again.
-	lost    map[string]bool
+	// failing holds the reads that fail now and why. While one fails that proves an outage,
+	// since is when the outage began, and over is closed at its end.
+	failing map[string]error
+	away    bool
 	since   time.Time
 	over    chan struct{}
 	probing bool
 }
 
-func newOutage() *outage { return &outage{lost: map[string]bool{}} }
+func newOutage() *outage { return &outage{failing: map[string]error{}} }
 
-// note takes in the result of a read. A store that has dropped its history is in reach.
-func (o *outage) note(read string, err error, now time.Time) {
+// note takes in the result of a read and reports whether it fails now and did not before,
+// or the other way round.
+func (o *outage) note(read string, err error, now time.Time) (changed bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	before := len(o.lost)
-	if err != nil && !errors.Is(err, store.ErrCompacted) {
-		o.lost[read] = true
+	_, before := o.failing[read]
+	if err != nil {
+		o.failing[read] = err
 	} else {
-		delete(o.lost, read)
+		delete(o.failing, read)
+	}
+	o.judge(now)
+	return before != (err != nil)
+}
+
+// forget drops reads that are not made any more.
+func (o *outage) forget(now time.Time, reads ...string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, read := range reads {
+		delete(o.failing, read)
+	}
+	o.judge(now)
+}
+
+// judge works out whether the store is out of reach. One that has dropped its history is
+// not. The caller holds the lock.
+func (o *outage) judge(now time.Time) {
+	away := false
+	for _, err := range o.failing {
+		away = away || !errors.Is(err, store.ErrCompacted)
 	}
 	switch {
-	case before == 0 && len(o.lost) > 0:
+	case away && !o.away:
 		o.since, o.over = now, make(chan struct{})
-	case before > 0 && len(o.lost) == 0:
+	case !away && o.away:
 		close(o.over)
 	}
+	o.away = away
 }
 
 // state returns since when the store is out of reach, and a channel that is closed when
@@ -62,7 +88,14 @@
 func (o *outage) state() (since time.Time, over <-chan struct{}, away bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.since, o.over, len(o.lost) > 0
+	return o.since, o.over, o.away
+}
+
+// reads lists the reads that fail now, in order.
+func (o *outage) reads() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Sorted(maps.Keys(o.failing))
 }
 
 // awaitStore waits a little for a store that is out of reach. An error means that it still
--- a/internal/poolhost/peers.go
+++ b/internal/poolhost/peers.go
@@ -42,8 +42,8 @@
 // notePeer records when the owner stops and starts to answer this host.
 func (h *Host) notePeer(err error) {
 	h.mu.Lock()
-	before, owner := h.down["owner_rpc"], h.owner.Host
-	h.down["owner_rpc"] = err != nil
+	before, owner := h.ownerSilent, h.owner.Host
+	h.ownerSilent = err != nil
 	h.mu.Unlock()
 	switch {
 	case err != nil && !before:
--- a/internal/poolhost/term.go
+++ b/internal/poolhost/term.go
@@ -74,7 +74,7 @@
 	t.cancel()
 	t.loop.Stop()
 	t.done.Wait()
-	h.forgetReads("workers", "progress", "jobs")
+	h.outage.forget(h.Clock.Now(), "workers", "progress", "jobs")
 	h.Events.Note(event.OwnershipLost, event.Subject{Host: h.Name}, event.Fields{"fence": t.fence, "why": why})
 }
 
