--- a/internal/ctl/admin.go
+++ b/internal/ctl/admin.go
@@ -101,15 +101,24 @@
 }
 
 func (a *Admin) callHost(ctx context.Context, method, target string, header http.Header, body []byte, answer any) error {
+	header = header.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	header.Set("Authorization", "Bearer "+a.Token)
+	return send(ctx, a.HTTP, method, target, header, body, answer)
+}
+
+// send makes one call and reads its answer.
+func send(ctx context.Context, client *http.Client, method, target string, header http.Header, body []byte, answer any) error {
 	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
 	if err != nil {
 		return &UsageError{Message: err.Error()}
 	}
 	if header != nil {
-		request.Header = header.Clone()
+		request.Header = header
 	}
-	request.Header.Set("Authorization", "Bearer "+a.Token)
-	response, err := a.HTTP.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return failure(transportOutcome(method, err))
 	}
--- a/internal/ctl/pool.go
+++ b/internal/ctl/pool.go
@@ -4,8 +4,6 @@
 	"context"
 	"net/http"
 
-	"github.com/pkg/errors"
-
 	"github.com/chervilrun/chervilrun/internal/outcome"
 	"github.com/chervilrun/chervilrun/internal/poolhost"
 )
@@ -53,14 +51,5 @@
 }
 
 func (p *Pool) get(ctx context.Context, target string, answer any) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
-	if err != nil {
-		return &UsageError{Message: err.Error()}
-	}
-	response, err := p.HTTP.Do(request)
-	if err != nil {
-		return failure(transportOutcome(http.MethodGet, errors.WithStack(err)))
-	}
-	defer func() { _ = response.Body.Close() }()
-	return readAnswer(http.MethodGet, response, answer)
+	return send(ctx, p.HTTP, http.MethodGet, target, nil, nil, answer)
 }
