--- a/internal/poolhost/jobs.go
+++ b/internal/poolhost/jobs.go
@@ -185,21 +185,32 @@
 	h.finals[id] = finalState{organisation: organisation, state: state}
 }
 
-// askOwner asks the owner of the pool; false means that it could not be asked.
+// askOwner asks the owner of the pool for a job; false means that it could not be asked.
 func (h *Host) askOwner(ctx context.Context, id model.JobID) (*rpc.PoolJobResponse, bool) {
+	return askPool(ctx, h,
+		func(t *term) *rpc.PoolJobResponse { return t.job(id) },
+		func(ctx context.Context, owner rpc.Pool) (*rpc.PoolJobResponse, error) {
+			return owner.Job(ctx, &rpc.PoolJobRequest{Job: string(id)})
+		})
+}
+
+// askPool asks this host, if it owns the pool, or else the owner; false means that neither
+// could answer as the owner.
+func askPool[T interface{ GetOwner() bool }](ctx context.Context, h *Host, here func(*term) T, there func(context.Context, rpc.Pool) (T, error)) (T, bool) {
 	if t := h.current(); t != nil {
-		answer := t.job(id)
-		return answer, answer.Owner
+		answer := here(t)
+		return answer, answer.GetOwner()
 	}
 	client, ok := h.ownerClient()
 	if !ok {
-		return nil, false
+		var none T
+		return none, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	answer, err := client.Job(ctx, &rpc.PoolJobRequest{Job: string(id)})
+	answer, err := there(ctx, client)
 	h.notePeer(err)
-	return answer, err == nil && answer.Owner
+	return answer, err == nil && answer.GetOwner()
 }
 
 // storedState reads the state of a job from the store.
@@ -311,17 +322,9 @@
 
 // askQueue asks the owner for a queue's count; false means that it could not be asked.
 func (h *Host) askQueue(ctx context.Context, queue string) (*rpc.PoolQueueResponse, bool) {
-	if t := h.current(); t != nil {
-		answer := t.queue(queue)
-		return answer, answer.Owner
-	}
-	client, ok := h.ownerClient()
-	if !ok {
-		return nil, false
-	}
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	answer, err := client.Queue(ctx, &rpc.PoolQueueRequest{Queue: queue})
-	h.notePeer(err)
-	return answer, err == nil && answer.Owner
+	return askPool(ctx, h,
+		func(t *term) *rpc.PoolQueueResponse { return t.queue(queue) },
+		func(ctx context.Context, owner rpc.Pool) (*rpc.PoolQueueResponse, error) {
+			return owner.Queue(ctx, &rpc.PoolQueueRequest{Queue: queue})
+		})
 }
