--- a/internal/measure/events.go
+++ b/internal/measure/preference.go
@@ -2,47 +2,14 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"slices"
 	"time"
 
 	"github.com/chervilrun/chervilrun/internal/scheduler"
 )
 
-// event is something that happens at a time; events at one time happen in the order
-// in which they were added.
-type event struct {
-	at       time.Duration
-	sequence int
-	do       func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	if e[i].at != e[j].at {
-		return e[i].at < e[j].at
-	}
-	return e[i].sequence < e[j].sequence
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push adds an event; it is for container/heap.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-// Pop removes the last event; it is for container/heap.
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
-func (s *simulation) at(at time.Duration, do func()) {
-	s.sequence++
-	heap.Push(&s.events, event{at: at, sequence: s.sequence, do: do})
-}
+// at adds what happens at a time, counted from the begin of the simulation.
+func (s *simulation) at(at time.Duration, do func()) { s.events.Add(origin.Add(at), do) }
 
 // preference is how much a zone suits a job.
 type preference struct {
--- a/internal/measure/simulation.go
+++ b/internal/measure/simulation.go
@@ -1,9 +1,9 @@
 package measure
 
 import (
-	"container/heap"
 	"time"
 
+	"github.com/chervilrun/chervilrun/internal/agenda"
 	"github.com/chervilrun/chervilrun/internal/guarantee"
 	"github.com/chervilrun/chervilrun/internal/model"
 	"github.com/chervilrun/chervilrun/internal/outcome"
@@ -36,8 +36,7 @@
 	deployment *Deployment
 	scenario   Scenario
 	clock      time.Duration
-	events     events
-	sequence   int
+	events     agenda.Queue
 	zones      []*zone
 	jobs       []*job
 	byID       map[model.JobID]*job
@@ -101,13 +100,13 @@
 
 // run plays all events until the horizon.
 func (s *simulation) run() {
-	for len(s.events) > 0 {
-		next := heap.Pop(&s.events).(event)
-		if next.at > s.deployment.Horizon {
+	for next, ok := s.events.Next(); ok; next, ok = s.events.Next() {
+		at := next.Sub(origin)
+		if at > s.deployment.Horizon {
 			break
 		}
-		s.advance(next.at)
-		next.do()
+		s.advance(at)
+		s.events.Take()()
 		for _, z := range s.zones {
 			s.decide(z)
 		}
--- a/internal/routing/measure/run.go
+++ b/internal/routing/measure/run.go
@@ -1,13 +1,13 @@
 package main
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/chervilrun/chervilrun/internal/agenda"
 	"github.com/chervilrun/chervilrun/internal/model"
 	"github.com/chervilrun/chervilrun/internal/routing"
 )
@@ -17,30 +17,6 @@
 // start is the time at which every run begins.
 var start = time.Unix(0, 0)
 
-// occasion is something that happens at a time.
-type occasion struct {
-	at     time.Time
-	number int
-	do     func()
-}
-
-type agenda []occasion
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	if a[i].at.Equal(a[j].at) {
-		return a[i].number < a[j].number
-	}
-	return a[i].at.Before(a[j].at)
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(occasion)) }
-func (a *agenda) Pop() any {
-	last := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return last
-}
-
 // host is one entry host.
 type host struct {
 	id     model.HostID
@@ -70,8 +46,7 @@
 type run struct {
 	scenario scenario
 	random   *rand.Rand
-	agenda   agenda
-	number   int
+	agenda   agenda.Queue
 	now      time.Time
 	hosts    []*host
 	ids      []model.HostID
@@ -125,10 +100,7 @@
 	return r
 }
 
-func (r *run) after(delay time.Duration, do func()) {
-	r.number++
-	heap.Push(&r.agenda, occasion{at: r.now.Add(delay), number: r.number, do: do})
-}
+func (r *run) after(delay time.Duration, do func()) { r.agenda.Add(r.now.Add(delay), do) }
 
 func (r *run) run() []line {
 	r.after(0, r.arrive)
@@ -138,11 +110,10 @@
 	if r.scenario.leaving > 0 {
 		r.after(length/2, r.leave)
 	}
-	for len(r.agenda) > 0 {
-		next := heap.Pop(&r.agenda).(occasion)
-		r.countIdle(next.at)
-		r.now = next.at
-		next.do()
+	for at, ok := r.agenda.Next(); ok; at, ok = r.agenda.Next() {
+		r.countIdle(at)
+		r.now = at
+		r.agenda.Take()()
 	}
 	return r.figures()
 }
