--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -210,6 +210,17 @@
 	})
 }
 
+// reach HOST ORGANISATION NAME: waits until the entry process of the host can look up the
+// job, and so knows an owner of the job's zone that answers. The admin process of a host
+// learns of a new owner before its entry process does.
+func cmdReach(ts *testscript.TestScript, _ bool, args []string) {
+	b := testbedOf(ts)
+	waitUntil(ts, "job "+args[2]+" through "+args[0], func() error {
+		_, err := b.client(args[0], args[1]).GetJob(context.Background(), b.jobs[args[2]])
+		return err
+	})
+}
+
 // cancel HOST ORGANISATION NAME...: cancels jobs; it retries until the call succeeds.
 func cmdCancel(ts *testscript.TestScript, _ bool, args []string) {
 	b := testbedOf(ts)
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -53,6 +53,7 @@
 			"request":      cmdRequest,
 			"submit":       cmdSubmit,
 			"await":        cmdAwait,
+			"reach":        cmdReach,
 			"cancel":       cmdCancel,
 			"owner":        cmdOwner,
 			"load":         cmdLoad,
