Announce accepted and cancelled jobs to the owner

Cause: the owner learns of jobs by its watch alone. Urgent jobs with an objective of 4 s were late before anybody knew of them. Ruled out: the planner (its waits are logged), room in the pool (there was some), the list of workers. Shorter watches would cost calls on all hosts at all times and still lose a second. The owner takes an announcement only if its watch has not passed that revision, so that a late one brings nothing back. The watch stays the way by which every record arrives in the end.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -78,6 +78,7 @@
 	CancelFailed      Number = 2015
 	StateUnread       Number = 2016
 	AcceptanceUnknown Number = 2017
+	JobAnnounced      Number = 2018
 	GangAborted       Number = 2020
 
 	WorkerClaimed       Number = 2100
@@ -152,6 +153,7 @@
 	EntryMalformed: {"entry malformed", logrus.WarnLevel, "The value of a key in the store can't be decoded; the key is ignored."},
 
 	JobAccepted:       {"job accepted", logrus.InfoLevel, "The job is recorded in the store and will run."},
+	JobAnnounced:      {"job announced", logrus.InfoLevel, "The host that accepted the job told the owner of it before the owner's watch did."},
 	JobRefused:        {"job refused", logrus.InfoLevel, "The job was not accepted and will not run."},
 	JobStarting:       {"job starting", logrus.InfoLevel, "All tasks of the gang are being started under a short lease."},
 	JobRunning:        {"job running", logrus.InfoLevel, "Every task has confirmed its start; the lease was extended for all."},
--- a/internal/poolhost/host.go
+++ b/internal/poolhost/host.go
@@ -63,12 +63,14 @@
 // Host is a running host. It is safe for concurrent use.
 type Host struct {
 	Options
-	config     *configState
-	elector    *elector
-	peers      *http.Client
-	ctx        context.Context
-	cancel     context.CancelFunc
-	goroutines sync.WaitGroup
+	config  *configState
+	elector *elector
+	peers   *http.Client
+	// announcements holds an entry for each announcement in flight.
+	announcements chan struct{}
+	ctx           context.Context
+	cancel        context.CancelFunc
+	goroutines    sync.WaitGroup
 
 	mu    sync.Mutex
 	owner ownerValue
@@ -93,9 +95,12 @@
 func New(o Options) *Host {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{
-		Options:      o,
-		config:       &configState{clock: o.Clock, events: o.Events, keyRevocationLimit: o.KeyRevocationLimit},
-		peers:        newPeerClient(),
+		Options: o,
+		config:  &configState{clock: o.Clock, events: o.Events, keyRevocationLimit: o.KeyRevocationLimit},
+		peers:   newPeerClient(),
+
+		announcements: make(chan struct{}, maxAnnouncements),
+
 		ctx:          ctx,
 		cancel:       cancel,
 		waveDueTimes: map[int]time.Time{},
--- a/internal/poolhost/host_test.go
+++ b/internal/poolhost/host_test.go
@@ -43,6 +43,8 @@
 	// jobWriteErrors holds the results of successive writes of jobs, if it is set; a nil
 	// error performs the write.
 	jobWriteErrors []error
+	// silentJobWatch makes the watches on accepted and cancelled jobs deliver nothing.
+	silentJobWatch bool
 }
 
 // faultyStore returns errors for successive writes of jobs; the last one is repeated. A nil
@@ -149,6 +151,12 @@
 	f.finishTasks = finish
 }
 
+func (f *fakeWorkers) runningCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.runs)
+}
+
 func (f *fakeWorkers) startCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -191,6 +199,9 @@
 	if d.jobWriteErrors != nil {
 		kv = &faultyStore{Store: h.client, writeErrors: d.jobWriteErrors}
 	}
+	if d.silentJobWatch {
+		kv = &silentStore{Store: h.client}
+	}
 	var handler http.Handler
 	h.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { handler.ServeHTTP(w, r) }))
 	h.Host = poolhost.New(poolhost.Options{
--- a/internal/poolhost/jobs.go
+++ b/internal/poolhost/jobs.go
@@ -44,9 +44,10 @@
 // has no further effect.
 func (h *Host) Submit(ctx context.Context, record *workflow.Record) Response {
 	key := store.PoolJobKey(record.ID)
+	encoded := workflow.Encode(record)
 	txn := store.Txn{
 		If:   []store.Compare{store.Absent(key)},
-		Then: []store.Op{{Put: &store.Put{Key: key, Value: workflow.Encode(record)}}},
+		Then: []store.Op{{Put: &store.Put{Key: key, Value: encoded}}},
 		Else: []store.Op{{Get: key}},
 	}
 	result, err := h.write(ctx, txn)
@@ -57,6 +58,7 @@
 		h.Events.RecordFields(event.JobAccepted, event.Subject{Job: string(record.ID), Organisation: string(record.Organisation)}, event.Fields{
 			"queue": record.Queue.Name, "steps": len(record.Spec.Steps), "revision": result.Revision,
 		})
+		h.announce(record.ID, encoded, result.Revision)
 		return Response{Outcome: outcome.Outcome{Kind: outcome.Accepted}}
 	}
 	return h.existingJobResponse(record, result)
@@ -77,6 +79,7 @@
 	h.Events.RecordFields(event.JobAccepted, event.Subject{Job: string(record.ID), Organisation: string(record.Organisation)}, event.Fields{
 		"queue": record.Queue.Name, "again": true, "revision": result.Gets[0].ModRevision,
 	})
+	h.announce(record.ID, result.Gets[0].Value, result.Gets[0].ModRevision)
 	return Response{Outcome: outcome.Outcome{Kind: outcome.Accepted}}
 }
 
@@ -281,6 +284,7 @@
 		}
 		if result.Succeeded {
 			h.Events.RecordFields(event.CancelRecorded, event.Subject{Job: string(id)}, event.Fields{"known": condition.ModRevision != 0, "revision": result.Revision})
+			h.announce(id, nil, result.Revision)
 			return stateResponse(condition.ModRevision != 0, workflow.Cancelled)
 		}
 		if len(result.Gets) < len(gets) || result.Gets[1] == nil {
--- a/internal/poolhost/term.go
+++ b/internal/poolhost/term.go
@@ -25,8 +25,11 @@
 	// pendingProgress holds the recorded progress of jobs not yet added to the
 	// pool.Owner.
 	pendingProgress map[model.JobID]store.KeyValue
-	// pendingCancels holds the cancelled jobs whose record has not been read yet.
+	// pendingCancels holds the cancelled jobs whose record has not been read yet, and
+	// inputRevision the revision up to which the watch has delivered jobs and
+	// cancellations. They are used only while the loop is locked.
 	pendingCancels map[model.JobID]bool
+	inputRevision  store.Revision
 
 	mu sync.Mutex
 	// loaded is true once all jobs are loaded; the owner does not act before.
@@ -168,6 +171,7 @@
 // handleJobInput passes accepted jobs and cancellations to the pool.Owner.
 func (t *term) handleJobInput(state mirror.State) {
 	var jobs []*workflow.Record
+	var cancelled []model.JobID
 	for _, key := range state.Changed {
 		kv, ok := state.Keys[key]
 		if !ok {
@@ -180,25 +184,34 @@
 				jobs = append(jobs, record)
 			}
 		case store.PoolCancel:
-			t.pendingCancels[id] = true
+			cancelled = append(cancelled, id)
 		}
 	}
 	t.loop.Update(func(o *pool.Owner, now time.Time) {
+		t.inputRevision = max(t.inputRevision, state.Revision)
 		for _, record := range jobs {
 			t.addJob(o, record, now)
 		}
-		for id := range t.pendingCancels {
-			if _, _, known := o.Lookup(id); known {
-				o.CancelJob(id, now)
-				delete(t.pendingCancels, id)
-			}
+		for _, id := range cancelled {
+			t.pendingCancels[id] = true
 		}
+		t.applyCancels(o, now)
 	})
 	t.mu.Lock()
 	t.loaded = true
 	t.mu.Unlock()
 }
 
+// applyCancels cancels the jobs that are to be cancelled and are known.
+func (t *term) applyCancels(o *pool.Owner, now time.Time) {
+	for id := range t.pendingCancels {
+		if _, _, known := o.Lookup(id); known {
+			o.CancelJob(id, now)
+			delete(t.pendingCancels, id)
+		}
+	}
+}
+
 func (t *term) decodeJob(id model.JobID, kv store.KeyValue) *workflow.Record {
 	record, err := workflow.DecodeRecord(kv.Value)
 	if err != nil {
