Urgent work that is late still evicts and reserves

Cause: beyond a guarantee, a late task group could neither stop runs of lower priority nor reserve room, whatever its priority. Tests: TestLateUrgentGangIsNotStarvedByBatchTasks (new, names the pattern); TestWorkLostByEvictionIsLimited still demands that a late task group evicts nothing at priority 1, and at priority 0 now demands the bound instead of none. Both fail before.

--- a/internal/scheduler/pool/plan.go
+++ b/internal/scheduler/pool/plan.go
@@ -174,7 +174,7 @@
 }
 
 // place finds workers for a task group: on a candidate rack, then on any racks if it may use
-// them, then by eviction. Outside a guarantee, task groups that are late or can wait evict nothing.
+// them, then by eviction.
 func (p *planner) place(group *TaskGroup) (Placement, bool) {
 	withinGuarantee := p.withinGuarantee(group)
 	anyRack := p.mayUseAnyRack(group, withinGuarantee)
@@ -186,7 +186,7 @@
 			return p.commit(group, workers, nil), true
 		}
 	}
-	if !withinGuarantee && (p.rank(group) != rankOnTime || p.hasSlack(group)) {
+	if !withinGuarantee && !p.mayEvictForOthers(group) {
 		return Placement{}, false
 	}
 	workers, evict, ok := p.findByEviction(group, anyRack, withinGuarantee)
@@ -196,6 +196,14 @@
 	return p.commit(group, workers, evict), true
 }
 
+// mayEvictForOthers reports whether the task group may stop runs of lower priority although
+// no guarantee covers it: if it is urgent, or would be late otherwise. Urgent work keeps
+// this right when it is late. Else it would wait behind all batch work, since whole workers
+// and racks hardly ever become free while small tasks wait.
+func (p *planner) mayEvictForOthers(group *TaskGroup) bool {
+	return group.Priority == 0 || p.rank(group) == rankOnTime && !p.hasSlack(group)
+}
+
 // mayUseAnyRack reports whether the task group may run on other racks than that of its data,
 // or across several racks. That is several times slower, so it first waits as long as its
 // estimated run time; within a guarantee it waits less.
--- a/internal/scheduler/pool/plan_test.go
+++ b/internal/scheduler/pool/plan_test.go
@@ -341,8 +341,8 @@
 	require.Len(t, placements[0].Evict, 2)
 }
 
-// The work lost by evictions is limited by the work of the task group, and a late task group
-// evicts nothing.
+// The work lost by evictions is limited by the work of the task group. A late task group
+// evicts nothing, unless it is urgent: then the same limit holds.
 func TestWorkLostByEvictionIsLimited(t *testing.T) {
 	s, runs := fullPool(2)
 	g := taskGroup("urgent", 1, 8)
@@ -356,7 +356,35 @@
 		setUnsavedWork(run, 10)
 	}
 	g.Objective = begin.Add(time.Second)
+	g.Priority = 1
 	require.Empty(t, pool.Plan(s))
+	g.Priority = 0
+	require.Len(t, pool.Plan(s), 1)
+	for _, run := range runs {
+		setUnsavedWork(run, 1000)
+	}
+	require.Empty(t, pool.Plan(s))
+}
+
+// Overload by urgent gangs beyond the guarantee, some of them late already, beside small batch
+// tasks that take every accelerator that becomes free: three workers stay reserved for the
+// late gang, so that it starts before the batch work is done.
+func TestLateUrgentGangIsNotStarvedByBatchTasks(t *testing.T) {
+	s := &pool.Snapshot{Now: begin, Workers: workers(8)}
+	for _, w := range s.Workers {
+		run := &pool.Run{TaskGroup: pool.TaskGroupID(w.ID), Priority: 1}
+		setUnsavedWork(run, 1000)
+		addRun(s, run, resources(7), w.ID)
+	}
+	gang := taskGroup("urgent", 3, 8)
+	gang.Priority, gang.SameRack, gang.Objective = 0, true, begin.Add(time.Second)
+	s.Waiting = []*pool.TaskGroup{gang}
+	for i := range 64 {
+		g := taskGroup(fmt.Sprintf("batch%02d", i), 1, 1)
+		g.Priority, g.Step = 2, ""
+		s.Waiting = append(s.Waiting, g)
+	}
+	require.Len(t, pool.Plan(s), len(s.Workers)-gang.Tasks)
 }
 
 // Batch work with slack leaves whole workers free for bursts of urgent work; without slack
--- a/internal/scheduler/pool/reserve.go
+++ b/internal/scheduler/pool/reserve.go
@@ -21,9 +21,10 @@
 // reserve reserves resources for a task group that could not be placed, on the rack (or the
 // whole pool) where most of its tasks fit: the slots for the tasks that fit now, and the
 // emptiest workers for the others. Otherwise small tasks of lower priority would keep taking
-// what becomes free, and a large gang would starve or have to stop them.
+// what becomes free, and a large gang would starve or have to stop them. Late work reserves
+// nothing, unless it is urgent.
 func (p *planner) reserve(group *TaskGroup) {
-	if p.rank(group) > rankOnTime || p.reservableAccelerators < group.accelerators() {
+	if group.Priority > 0 && p.rank(group) > rankOnTime || p.reservableAccelerators < group.accelerators() {
 		return
 	}
 	var best []reservation
