A panic ends a term or a call, not the process

Cause: nothing recovered outside of generated code. A broken invariant in the pool's owner, a decoder that panics on an entry, or one call's handler in a goroutine of ours took the whole process down, callers' connections with it; and since the next owner reads the same records, a bad one could take down host after host. Ruled out: recovery around every goroutine without an end of the term, since the state of an owner that has panicked can't be trusted. Change: pool.Loop recovers panics of the owner, reports them once and does nothing more; the host logs the stack, deletes its owner key so that another host takes over at once, and stays out of elections for 1 s, doubled with each such failure up to 60 s. A record that panics while it is added is set aside, as is one whose progress can't be decoded (its progress was forgotten before, so the job could have started from its beginning). Decoders of the configuration and of workers are contained, one entry at a time; a panic of an adapter on a response counts as a lost response. A malformed owner key is reported as such and no longer as a loss of ownership. Occurrences of a job that are all due at once open up to 8,192 tasks at a time; 100,000 of 4,096 tasks each would have filled the memory of each owner in turn.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -34,6 +34,7 @@
 	ProcessStopped  Number = 1002
 	SettingsRead    Number = 1003
 	ProcessSummary  Number = 1004
+	HandlerFailed   Number = 1005
 
 	ConfigAccepted Number = 1100
 	ConfigApplied  Number = 1101
@@ -54,11 +55,13 @@
 	OwnerAnswers        Number = 1216
 	OwnershipYielded    Number = 1217
 	OwnerDied           Number = 1218
+	OwnerFailed         Number = 1219
 
 	StoreUnavailable  Number = 1300
 	StoreRecovered    Number = 1301
 	StoreResponseLost Number = 1302
 	EntryMalformed    Number = 1303
+	StateSkipped      Number = 1304
 
 	JobAccepted       Number = 2000
 	JobRefused        Number = 2001
@@ -79,6 +82,7 @@
 	StateUnread       Number = 2016
 	AcceptanceUnknown Number = 2017
 	JobAnnounced      Number = 2018
+	JobSetAside       Number = 2019
 	GangAborted       Number = 2020
 
 	WorkerClaimed       Number = 2100
@@ -122,6 +126,7 @@
 
 	SettingsRead: {"settings read again", logrus.InfoLevel, "The settings were read again on a signal."},
 
+	HandlerFailed:  {"call failed", logrus.ErrorLevel, "Serving a call panicked; its connection is closed without an answer, and other calls go on."},
 	ProcessSummary: {"process summary", logrus.InfoLevel, "Metrics of the process since its start."},
 
 	ConfigAccepted: {"configuration accepted", logrus.InfoLevel, "An operator's change was stored under a new version."},
@@ -141,6 +146,7 @@
 	EpochNotAnnounced: {"epoch not announced", logrus.InfoLevel, "An epoch that is about to be written could not be announced to the host's admin process, which does not answer its peers either."},
 
 	OwnerChanged:     {"owner changed", logrus.InfoLevel, "The pool has another owner, or none."},
+	OwnerFailed:      {"owner failed", logrus.ErrorLevel, "The scheduler of the pool panicked. Its term ends, another host takes over, and this host goes on serving callers."},
 	OwnershipYielded: {"ownership yielded", logrus.InfoLevel, "The owner hands the pool over to a host with a much higher weight."},
 	OwnerDied:        {"owner died", logrus.WarnLevel, "The process of the pool's owner has ended; a new owner is elected without waiting for its lease to expire."},
 	OwnerSilent:      {"owner silent", logrus.WarnLevel, "The pool's owner does not answer this host; job states are read from the store."},
@@ -150,9 +156,11 @@
 	StoreRecovered:    {"store recovered", logrus.InfoLevel, "Calls to the key-value service succeed again."},
 	StoreResponseLost: {"store answer lost", logrus.WarnLevel, "A write may or may not have taken effect; the value is read back."},
 
+	StateSkipped:   {"state skipped", logrus.ErrorLevel, "Processing what was read from the store panicked; the process goes on with what it knew before."},
 	EntryMalformed: {"entry malformed", logrus.WarnLevel, "The value of a key in the store can't be decoded; the key is ignored."},
 
 	JobAccepted:       {"job accepted", logrus.InfoLevel, "The job is recorded in the store and will run."},
+	JobSetAside:       {"job set aside", logrus.ErrorLevel, "The record or the progress of the job can't be used; it stays in the store and is not scheduled."},
 	JobAnnounced:      {"job announced", logrus.InfoLevel, "The host that accepted the job told the owner of it before the owner's watch did."},
 	JobRefused:        {"job refused", logrus.InfoLevel, "The job was not accepted and will not run."},
 	JobStarting:       {"job starting", logrus.InfoLevel, "All tasks of the gang are being started under a short lease."},
--- a/internal/pool/loop.go
+++ b/internal/pool/loop.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 
+	"github.com/chervilrun/chervilrun/internal/panics"
 	"github.com/chervilrun/chervilrun/internal/store"
 )
 
@@ -23,6 +25,9 @@
 	Gate func() Gate
 	// OnOwnershipLost is called once when the ownership is lost to a later owner; it must not block.
 	OnOwnershipLost func()
+	// OnFailure is called once when the owner has panicked, with its lock held; it must not
+	// block. The loop then does nothing more: the owner's state can't be trusted.
+	OnFailure func(error)
 }
 
 // Loop drives an Owner and executes its calls. It is safe for concurrent use.
@@ -37,6 +42,8 @@
 	owner                 *Owner
 	releasing             bool
 	ownershipLossReported bool
+	// failed is true once the owner has panicked.
+	failed bool
 }
 
 // NewLoop starts driving an owner.
@@ -57,19 +64,30 @@
 
 // Update calls f with the owner and wakes the loop up.
 func (l *Loop) Update(f func(o *Owner, now time.Time)) {
-	l.mu.Lock()
-	f(l.owner, l.ports.Clock.Now())
-	l.mu.Unlock()
+	l.withOwner(func(o *Owner) { f(o, l.ports.Clock.Now()) })
 	l.wakeUp()
 }
 
-// Read calls f with the owner; f must not change it.
-func (l *Loop) Read(f func(o *Owner)) {
+// withOwner calls f with the owner under the lock, unless the owner has panicked before. A
+// panic of f ends the loop's work, not the process.
+func (l *Loop) withOwner(f func(o *Owner)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.failed {
+		return
+	}
+	defer func() {
+		if value := recover(); value != nil {
+			l.failed = true
+			l.ports.OnFailure(panics.New(value))
+		}
+	}()
 	f(l.owner)
 }
 
+// Read calls f with the owner, unless it has panicked; f must not change it.
+func (l *Loop) Read(f func(o *Owner)) { l.withOwner(f) }
+
 func (l *Loop) wakeUp() {
 	select {
 	case l.wake <- struct{}{}:
@@ -92,12 +110,16 @@
 
 // advance advances the owner, starts its calls and returns the time until the next advance.
 func (l *Loop) advance() time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	wait := idleInterval
+	l.withOwner(func(o *Owner) { wait = l.advanceOwner(o) })
+	return wait
+}
+
+func (l *Loop) advanceOwner(o *Owner) time.Duration {
 	now := l.ports.Clock.Now()
 	gate := l.ports.Gate()
 	gate.MayStart = gate.MayStart && !l.releasing
-	effects := l.owner.Advance(now, gate)
+	effects := o.Advance(now, gate)
 	for _, call := range effects.Calls {
 		l.calls.Add(1)
 		go l.execute(call)
@@ -106,7 +128,7 @@
 		l.calls.Add(1)
 		go l.executeStoreCall(effects.Store)
 	}
-	if l.owner.OwnershipLost() && !l.ownershipLossReported {
+	if o.OwnershipLost() && !l.ownershipLossReported {
 		l.ownershipLossReported = true
 		l.ports.OnOwnershipLost()
 	}
@@ -119,25 +141,27 @@
 	defer cancel()
 	switch {
 	case call.Start != nil:
-		clockMS, err := l.ports.Workers.Start(ctx, call.Target, *call.Start)
+		clockMS, err := contained(ErrResponseLost, func() (int64, error) { return l.ports.Workers.Start(ctx, call.Target, *call.Start) })
 		l.Update(func(o *Owner, now time.Time) { o.StartDone(call, clockMS, err, now) })
 	case call.Stop != nil:
-		clockMS, err := l.ports.Workers.Stop(ctx, call.Target, *call.Stop)
+		clockMS, err := contained(ErrResponseLost, func() (int64, error) { return l.ports.Workers.Stop(ctx, call.Target, *call.Stop) })
 		l.Update(func(o *Owner, now time.Time) { o.StopDone(call, clockMS, err, now) })
 	case call.Pace != nil:
-		clockMS, err := l.ports.Workers.Pace(ctx, call.Target, *call.Pace)
+		clockMS, err := contained(ErrResponseLost, func() (int64, error) { return l.ports.Workers.Pace(ctx, call.Target, *call.Pace) })
 		l.Update(func(o *Owner, now time.Time) { o.PaceDone(call, clockMS, err, now) })
 	case call.Machines:
-		machines, err := l.ports.Machines.Machines(ctx)
+		machines, err := contained(ErrResponseLost, func() ([]Machine, error) { return l.ports.Machines.Machines(ctx) })
 		l.Update(func(o *Owner, now time.Time) { o.MachinesDone(call, machines, err, now) })
 	case call.Upkeep != nil:
-		err := l.ports.Machines.Upkeep(ctx, call.Upkeep.Machine, call.Upkeep.Wave, call.Upkeep.Fence)
+		_, err := contained(ErrResponseLost, func() (struct{}, error) {
+			return struct{}{}, l.ports.Machines.Upkeep(ctx, call.Upkeep.Machine, call.Upkeep.Wave, call.Upkeep.Fence)
+		})
 		l.Update(func(o *Owner, now time.Time) { o.UpkeepDone(call, err, now) })
 	case call.Advise != nil:
-		advice, err := l.ports.Adviser.Advise(ctx, call.Advise.Step, call.Advise.Workers)
+		advice, err := contained(ErrResponseLost, func() (Advice, error) { return l.ports.Adviser.Advise(ctx, call.Advise.Step, call.Advise.Workers) })
 		l.Update(func(o *Owner, now time.Time) { o.AdviseDone(call, advice, err, now) })
 	default:
-		inventory, err := l.ports.Workers.RenewLeases(ctx, call.Target, *call.Renew)
+		inventory, err := contained(ErrResponseLost, func() (Inventory, error) { return l.ports.Workers.RenewLeases(ctx, call.Target, *call.Renew) })
 		if l.ctx.Err() != nil {
 			// The loop cancelled the call, so the error says nothing about the worker.
 			return
@@ -146,11 +170,22 @@
 	}
 }
 
+// contained makes a call. If an adapter panics on the response, the call may have been
+// carried out: its outcome is unknown, and the error wraps responseLost.
+func contained[T any](responseLost error, call func() (T, error)) (result T, err error) {
+	defer func() {
+		if value := recover(); value != nil {
+			err = errors.Wrapf(responseLost, "the response can't be processed: %v", panics.New(value))
+		}
+	}()
+	return call()
+}
+
 func (l *Loop) executeStoreCall(call *StoreCall) {
 	defer l.calls.Done()
 	ctx, cancel := context.WithTimeout(l.ctx, call.Timeout)
 	defer cancel()
-	result, err := l.ports.Store.Txn(ctx, call.Txn)
+	result, err := contained(store.ErrResponseLost, func() (store.TxnResult, error) { return l.ports.Store.Txn(ctx, call.Txn) })
 	l.Update(func(o *Owner, now time.Time) { o.StoreDone(call, result, err, now) })
 }
 
@@ -175,13 +210,15 @@
 	l.Stop()
 }
 
+// allRecorded reports whether every change is recorded; an owner that has panicked records
+// nothing more.
 func (l *Loop) allRecorded() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, j := range l.owner.jobs.all() {
-		if !j.fullyRecorded() {
-			return false
+	recorded := true
+	l.withOwner(func(o *Owner) {
+		for _, j := range o.jobs.all() {
+			recorded = recorded && j.fullyRecorded()
 		}
-	}
-	return !l.owner.storeCallInFlight
+		recorded = recorded && !o.storeCallInFlight
+	})
+	return recorded
 }
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -1,10 +1,12 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chervilrun/chervilrun/internal/event"
 	"github.com/chervilrun/chervilrun/internal/model"
+	"github.com/chervilrun/chervilrun/internal/panics"
 	plan "github.com/chervilrun/chervilrun/internal/scheduler/pool"
 	"github.com/chervilrun/chervilrun/internal/scheduler/quarantine"
 	"github.com/chervilrun/chervilrun/internal/store"
@@ -192,22 +194,43 @@
 	}
 }
 
-// AddJob adds an accepted job with its recorded progress, if any.
-func (o *Owner) AddJob(record *workflow.Record, progress *workflow.Progress, revision store.Revision, now time.Time) {
+// AddJob adds an accepted job with its recorded progress, if any. A record that breaks an
+// invariant is set aside with an error: it must not end the term of each owner in turn.
+func (o *Owner) AddJob(record *workflow.Record, progress *workflow.Progress, revision store.Revision, now time.Time) (err error) {
 	o.now = now
 	if o.jobs.has(record.ID) {
-		return
+		return nil
 	}
 	j := newJob(record)
+	defer func() {
+		if value := recover(); value != nil {
+			err = panics.New(value)
+			o.discard(j)
+		}
+	}()
+	o.addJob(j, progress, revision)
+	return nil
+}
+
+// discard removes a job that could not be added completely.
+func (o *Owner) discard(j *job) {
+	o.jobs.remove(j.id())
+	o.active.remove(j.id())
+	j.forEachTaskGroup(o.removeTaskGroup)
+	o.recoveringTaskGroups = slices.DeleteFunc(o.recoveringTaskGroups, func(g *taskGroup) bool { return g.job == j })
+	o.changed = slices.DeleteFunc(o.changed, func(other *job) bool { return other == j })
+}
+
+func (o *Owner) addJob(j *job, progress *workflow.Progress, revision store.Revision) {
 	j.revision = revision
-	o.jobs.set(record.ID, j)
+	o.jobs.set(j.id(), j)
 	if progress != nil {
 		o.restore(j, progress)
 	}
 	if j.state.Final() {
 		return
 	}
-	o.active.set(record.ID, j)
+	o.active.set(j.id(), j)
 	for number := range j.occurrenceCount() {
 		if o.hasOpenTaskGroups(j, number, progress) {
 			o.openOccurrence(j, number)
@@ -242,9 +265,18 @@
 	return false
 }
 
+// maxOpenTasks limits the tasks of the open occurrences of a job, unless only one is open.
+// Further occurrences open once earlier ones have ended, so that a job with very many due
+// times does not take up all memory of its owner.
+const maxOpenTasks = 2 * workflow.MaxTasks
+
 // openDueOccurrences opens the occurrences that are due.
 func (o *Owner) openDueOccurrences(j *job) {
+	tasks := j.record.Spec.TaskCount()
 	for j.nextOccurrence < j.occurrenceCount() {
+		if open := j.occurrences.len(); open > 0 && (open+1)*tasks > maxOpenTasks {
+			return
+		}
 		due := j.record.Spec.Due(j.nextOccurrence)
 		if !due.IsZero() && o.now.Before(due) {
 			o.wakeAt(o.now.Add(due.Sub(o.now)))
--- a/internal/poolhost/elector.go
+++ b/internal/poolhost/elector.go
@@ -82,6 +82,10 @@
 	// ownershipEnded is signalled when this host's ownership was handed over or has been lost.
 	ownershipEnded chan struct{}
 	withdrawn      bool
+	// failures counts the terms of this host that a panic ended; it takes part in no election
+	// before pausedUntil.
+	failures    int
+	pausedUntil time.Time
 }
 
 func newElector(s store.Store, clock clockwork.Clock, self ownerValue, events *event.Recorder) *elector {
@@ -139,6 +143,29 @@
 	e.withdrawn = true
 }
 
+// Limits of the pause after a term that a panic ended.
+const (
+	minElectionPause = time.Second
+	maxElectionPause = time.Minute
+)
+
+// pause keeps this host out of elections for a while and returns for how long.
+func (e *elector) pause() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	length := min(maxElectionPause, minElectionPause<<min(e.failures, 10))
+	e.failures++
+	e.pausedUntil = e.clock.Now().Add(length)
+	return length
+}
+
+// remainingPause is the time until this host may take part in elections again.
+func (e *elector) remainingPause() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(0, e.pausedUntil.Sub(e.clock.Now()))
+}
+
 func (e *elector) isWithdrawn() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -177,7 +204,7 @@
 			return
 		case <-e.electionDue:
 		}
-		e.sleep(ctx, rand.N(electionJitter)+e.electionDelay())
+		e.sleep(ctx, e.remainingPause()+rand.N(electionJitter)+e.electionDelay())
 		if !e.isWithdrawn() && e.runElection(ctx) {
 			e.holdOwnership(ctx)
 		}
--- a/internal/poolhost/host.go
+++ b/internal/poolhost/host.go
@@ -13,6 +13,7 @@
 
 	"github.com/chervilrun/chervilrun/internal/event"
 	"github.com/chervilrun/chervilrun/internal/model"
+	"github.com/chervilrun/chervilrun/internal/panics"
 	"github.com/chervilrun/chervilrun/internal/pool"
 	"github.com/chervilrun/chervilrun/internal/rpc"
 	"github.com/chervilrun/chervilrun/internal/store"
@@ -138,11 +139,24 @@
 // reads start to fail and when they succeed again.
 func (h *Host) follow(ctx context.Context, s store.Store, prefix, read string, onState func(mirror.State)) {
 	mirror.Follow(ctx, mirror.Options{
-		Store: s, Prefix: prefix, Clock: h.Clock, OnState: onState, Timeout: storeReadTimeout,
+		Store: s, Prefix: prefix, Clock: h.Clock, Timeout: storeReadTimeout,
+		OnState: func(state mirror.State) { h.contain(read, state, onState) },
 		OnError: func(err error) { h.recordStoreRead(read, err) },
 	})
 }
 
+// contain passes a state to its receiver. If that panics, the host goes on with what it
+// knew before.
+func (h *Host) contain(read string, state mirror.State, onState func(mirror.State)) {
+	defer func() {
+		if value := recover(); value != nil {
+			err := panics.New(value)
+			h.Events.RecordFields(event.StateSkipped, event.Subject{}, event.Fields{"what": read, "revision": state.Revision, "why": err.Error(), "stack": err.Stack})
+		}
+	}()
+	onState(state)
+}
+
 // recordStoreRead records the result of a read from the store, with an event when the
 // read starts to fail or succeeds again.
 func (h *Host) recordStoreRead(read string, err error) {
@@ -161,7 +175,7 @@
 		h.config.confirm(state.Confirmed)
 		return
 	}
-	config, err := h.Directories.DecodeConfig(state.Keys)
+	config, err := h.decodeConfig(state.Keys)
 	if err != nil {
 		h.Events.RecordFields(event.ConfigRefused, event.Subject{}, event.Fields{"why": err.Error(), "revision": state.Revision})
 		return
@@ -182,6 +196,12 @@
 	}
 }
 
+// decodeConfig decodes the configuration. If the decoder panics, the one in force stays.
+func (h *Host) decodeConfig(keys map[string]store.KeyValue) (config *Configuration, err error) {
+	defer panics.ToError(&err)
+	return h.Directories.DecodeConfig(keys)
+}
+
 // keepWaveDueTimes keeps the due time that each wave had when this host first read it,
 // since the decoder counts due times from the time of decoding.
 func (h *Host) keepWaveDueTimes(config *Configuration) {
@@ -204,7 +224,7 @@
 	}
 	value, err := decodeOwner(kv.Value)
 	if err != nil {
-		h.Events.RecordFields(event.OwnershipLost, event.Subject{}, event.Fields{"why": err.Error()})
+		h.Events.RecordFields(event.EntryMalformed, event.Subject{}, event.Fields{"key": kv.Key, "revision": kv.ModRevision, "why": err.Error()})
 	}
 	h.setOwner(value)
 	h.elector.ownerKeyChanged(&kv)
--- a/internal/poolhost/host_test.go
+++ b/internal/poolhost/host_test.go
@@ -45,6 +45,7 @@
 	jobWriteErrors []error
 	// silentJobWatch makes the watches on accepted and cancelled jobs deliver nothing.
 	silentJobWatch bool
+	directories    poolhost.Directories
 }
 
 // faultyStore returns errors for successive writes of jobs; the last one is repeated. A nil
@@ -74,6 +75,10 @@
 func newDeployment(t *testing.T) *deployment {
 	clock := clockwork.NewFakeClock()
 	d := &deployment{t: t, clock: clock, store: memory.New(clock), workers: &fakeWorkers{runs: map[pool.RunKey]bool{}}}
+	d.directories = poolhost.Directories{
+		ConfigPrefix: configPrefix, DecodeConfig: decodeTestConfig,
+		WorkersPrefix: workersPrefix, DecodeWorker: decodeTestWorker,
+	}
 	d.put(configPrefix+"current", "1")
 	d.put(workersPrefix+"w1", "w1")
 	return d
@@ -207,11 +212,8 @@
 	h.Host = poolhost.New(poolhost.Options{
 		Name: name, Incarnation: incarnation, Address: strings.TrimPrefix(h.server.URL, "http://"), Weight: weight,
 		Store: kv, ConfigStore: h.client, WorkersStore: h.client, Workers: d.workers,
-		Directories: poolhost.Directories{
-			ConfigPrefix: configPrefix, DecodeConfig: decodeTestConfig,
-			WorkersPrefix: workersPrefix, DecodeWorker: decodeTestWorker,
-		},
-		Clock: clock, Events: event.NewRecorder(name, clock, log, 64),
+		Directories: d.directories,
+		Clock:       clock, Events: event.NewRecorder(name, clock, log, 64),
 		Timing: pool.DefaultTiming(6*time.Second, time.Hour), KeyRevocationLimit: time.Hour,
 	})
 	handler = h.Handler()
--- a/internal/poolhost/term.go
+++ b/internal/poolhost/term.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/chervilrun/chervilrun/internal/event"
 	"github.com/chervilrun/chervilrun/internal/model"
+	"github.com/chervilrun/chervilrun/internal/panics"
 	"github.com/chervilrun/chervilrun/internal/pool"
 	"github.com/chervilrun/chervilrun/internal/store"
 	"github.com/chervilrun/chervilrun/internal/store/mirror"
@@ -34,6 +36,8 @@
 	mu sync.Mutex
 	// loaded is true once all jobs are loaded; the owner does not act before.
 	loaded bool
+	// failed is true once the pool.Owner has panicked; it does not act any more.
+	failed atomic.Bool
 }
 
 func (h *Host) beginTerm(fence store.Revision) {
@@ -43,7 +47,7 @@
 	h.Events.RecordFields(event.OwnershipTaken, event.Subject{Host: h.Name}, event.Fields{"fence": fence})
 	t.loop = pool.NewLoop(owner, pool.Ports{
 		Clock: h.Clock, Workers: h.Workers, Adviser: h.Adviser, Machines: h.Machines, Store: h.Store, Gate: t.gate,
-		OnOwnershipLost: h.elector.signalOwnershipEnded,
+		OnOwnershipLost: h.elector.signalOwnershipEnded, OnFailure: t.fail,
 	})
 	if config, _, _ := h.config.get(); config != nil {
 		t.loop.Update(func(o *pool.Owner, now time.Time) { t.applyConfig(o, config, now) })
@@ -93,8 +97,22 @@
 // that an availability zone taken out of service soon gets no more tasks.
 const maxConfigAgeForStarts = 4 * time.Second
 
+// fail ends the term after a panic of the pool.Owner: it gives up the ownership, so that the
+// next owner starts from the records. This host takes part in elections again after a
+// delay that grows with each such failure.
+func (t *term) fail(err error) {
+	t.failed.Store(true)
+	t.host.Events.RecordFields(event.OwnerFailed, event.Subject{Host: t.host.Name}, event.Fields{
+		"fence": t.fence, "why": err.Error(), "stack": panics.Stack(err), "pause_ms": t.host.elector.pause().Milliseconds(),
+	})
+	t.host.background(func() { t.host.elector.deleteOwnerKey(t.host.ctx, t.fence) })
+}
+
 // gate returns what the owner may do now.
 func (t *term) gate() pool.Gate {
+	if t.failed.Load() {
+		return pool.Gate{}
+	}
 	renewalAge, owned := t.host.elector.sinceRenewal()
 	t.mu.Lock()
 	loaded := t.loaded
@@ -158,7 +176,7 @@
 func (t *term) handleWorkers(state mirror.State) {
 	var workers []pool.WorkerInfo
 	for _, kv := range state.Keys {
-		info, err := t.host.Directories.DecodeWorker(kv)
+		info, err := t.decodeWorker(kv)
 		if err != nil {
 			t.host.Events.RecordFields(event.EntryMalformed, event.Subject{}, event.Fields{"key": kv.Key, "revision": kv.ModRevision, "why": err.Error()})
 			continue
@@ -168,6 +186,13 @@
 	t.loop.Update(func(o *pool.Owner, now time.Time) { o.SetWorkers(workers, now) })
 }
 
+// decodeWorker decodes an entry of the list of workers. One that makes the decoder panic
+// names no worker, and the others hold.
+func (t *term) decodeWorker(kv store.KeyValue) (info pool.WorkerInfo, err error) {
+	defer panics.ToError(&err)
+	return t.host.Directories.DecodeWorker(kv)
+}
+
 // handleJobInput passes accepted jobs and cancellations to the pool.Owner.
 func (t *term) handleJobInput(state mirror.State) {
 	var jobs []*workflow.Record
@@ -221,17 +246,31 @@
 	return record
 }
 
+// addJob passes a job to the pool.Owner. A job whose record or progress can't be used is
+// set aside: it stays in the store as it is and is not scheduled.
 func (t *term) addJob(o *pool.Owner, record *workflow.Record, now time.Time) {
-	kv, known := t.pendingProgress[record.ID]
+	kv, progress, err := t.takeProgress(record.ID)
+	if err == nil {
+		err = o.AddJob(record, progress, kv.ModRevision, now)
+	}
+	if err != nil {
+		t.host.Events.RecordFields(event.JobSetAside, event.Subject{Job: string(record.ID)}, event.Fields{
+			"key": kv.Key, "revision": kv.ModRevision, "why": err.Error(), "stack": panics.Stack(err),
+		})
+	}
+}
+
+// takeProgress removes and returns the recorded progress of a job, if it has any. Progress
+// that can't be decoded is kept.
+func (t *term) takeProgress(id model.JobID) (store.KeyValue, *workflow.Progress, error) {
+	kv, known := t.pendingProgress[id]
 	if !known {
-		o.AddJob(record, nil, 0, now)
-		return
+		return store.KeyValue{}, nil, nil
 	}
-	delete(t.pendingProgress, record.ID)
 	progress, err := workflow.DecodeProgress(kv.Value)
 	if err != nil {
-		t.host.Events.RecordFields(event.EntryMalformed, event.Subject{Job: string(record.ID)}, event.Fields{"key": kv.Key, "revision": kv.ModRevision, "why": err.Error(), "outcome": "the job is not scheduled; its record is unchanged"})
-		return
+		return kv, nil, err
 	}
-	o.AddJob(record, &progress, kv.ModRevision, now)
+	delete(t.pendingProgress, id)
+	return kv, &progress, nil
 }
--- a/internal/workflow/workflow.go
+++ b/internal/workflow/workflow.go
@@ -99,19 +99,26 @@
 	case s.Period < 0:
 		return errors.Errorf("the period %s is negative", s.Period)
 	}
-	tasks := 0
 	for i := range s.Steps {
 		if err := s.Steps[i].validate(i); err != nil {
 			return errors.Wrapf(err, "step %d", i)
 		}
-		tasks += s.Steps[i].Tasks
 	}
-	if tasks > MaxTasks {
+	if tasks := s.TaskCount(); tasks > MaxTasks {
 		return errors.Errorf("the job has %d tasks, at most %d are allowed", tasks, MaxTasks)
 	}
 	return nil
 }
 
+// TaskCount is the number of tasks of one occurrence.
+func (s *Spec) TaskCount() int {
+	tasks := 0
+	for i := range s.Steps {
+		tasks += s.Steps[i].Tasks
+	}
+	return tasks
+}
+
 func (s *Step) validate(index int) error {
 	if s.Tasks < 1 || s.Tasks > MaxTasks {
 		return errors.Errorf("%d tasks, expected 1 to %d", s.Tasks, MaxTasks)
