--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -33,9 +33,6 @@
 	StoreTimeout    time.Duration
 	MaxStoreTimeout time.Duration
 	StoreRetryDelay time.Duration
-	// LostAfter is not used: a worker gets no new tasks from its first failed lease renewal
-	// until it responds again.
-	LostAfter time.Duration
 	// TakeoverWait is how long after a takeover an unreachable worker may still run tasks
 	// under leases that the previous owner has granted.
 	TakeoverWait time.Duration
@@ -74,7 +71,6 @@
 		StoreTimeout:        300 * time.Millisecond,
 		MaxStoreTimeout:     1500 * time.Millisecond,
 		StoreRetryDelay:     200 * time.Millisecond,
-		LostAfter:           1500 * time.Millisecond,
 		TakeoverWait:        LeaseRenewalGrace + time.Duration(float64(workerLease)/(1-maxClockDrift)) + 500*time.Millisecond,
 		StopRetryInterval:   300 * time.Millisecond,
 		Retention:           retention,
--- a/internal/store/budget/budget.go
+++ b/internal/store/budget/budget.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/time/rate"
 
@@ -101,7 +102,7 @@
 	s.calls.WithLabelValues(string(kind)).Inc()
 	err := do()
 	s.callSeconds.WithLabelValues(string(kind)).Observe(s.clock.Since(start).Seconds())
-	if err != nil {
+	if err != nil && !errors.Is(err, store.ErrLeaseGone) {
 		s.failedCalls.WithLabelValues(string(kind)).Inc()
 	}
 	return err
--- a/internal/store/budget/budget_test.go
+++ b/internal/store/budget/budget_test.go
@@ -45,3 +45,19 @@
 chervil_store_calls_total{kind="write"} 3
 `), "chervil_store_calls_total"))
 }
+
+// A lease that has ended is an answer of the store, not a failed call.
+func TestEndedLeasesAreNotFailedCalls(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	metrics := prometheus.NewRegistry()
+	inner := memory.New(clock)
+	s := budget.New(inner, clock, budget.Limits{ReadsPerSecond: 10, WritesPerSecond: 10, LeasesPerSecond: 10}, metrics)
+	require.ErrorIs(t, s.KeepAlive(t.Context(), 99), store.ErrLeaseGone)
+	inner.SetFaults(memory.Faults{Down: true})
+	require.ErrorIs(t, s.KeepAlive(t.Context(), 99), store.ErrUnavailable)
+	require.NoError(t, testutil.GatherAndCompare(metrics, strings.NewReader(`
+# HELP chervil_store_failed_total Calls that failed, but for leases that have ended.
+# TYPE chervil_store_failed_total counter
+chervil_store_failed_total{kind="keepalive"} 1
+`), "chervil_store_failed_total"))
+}
