--- a/internal/pool/loop.go
+++ b/internal/pool/loop.go
@@ -135,10 +135,50 @@
 	return max(effects.Next.Sub(now), time.Millisecond)
 }
 
+// Elapsed returns the larger of the differences by the monotonic clock and by the wall
+// clock, since the monotonic clock does not advance while the machine is suspended.
+func Elapsed(now, then time.Time) time.Duration {
+	return max(now.Sub(then), now.Round(0).Sub(then.Round(0)))
+}
+
+// maySend reports whether the permission on which a call was decided still holds. The process
+// may have been paused since, while the ownership has passed to another host. The fencing
+// token rejects late orders only where the receiver checks it and has seen a later one; the
+// expiry of a start order bounds the time from the decision.
+func (l *Loop) maySend(call Call) bool {
+	switch {
+	case call.Start != nil, call.Upkeep != nil:
+		return l.ports.Gate().MayStart
+	case call.Stop != nil, call.Pace != nil:
+		return l.ports.Gate().MayRenewLeases
+	}
+	return true
+}
+
+// refuse passes an order that was not sent back to the owner.
+func (l *Loop) refuse(call Call) {
+	l.Update(func(o *Owner, now time.Time) {
+		switch {
+		case call.Start != nil:
+			o.StartDone(call, 0, ErrPermissionExpired, now)
+		case call.Stop != nil:
+			o.StopDone(call, 0, ErrPermissionExpired, now)
+		case call.Pace != nil:
+			o.PaceDone(call, 0, ErrPermissionExpired, now)
+		case call.Upkeep != nil:
+			o.UpkeepDone(call, ErrPermissionExpired, now)
+		}
+	})
+}
+
 func (l *Loop) execute(call Call) {
 	defer l.calls.Done()
 	ctx, cancel := context.WithTimeout(l.ctx, call.Timeout)
 	defer cancel()
+	if !l.maySend(call) {
+		l.refuse(call)
+		return
+	}
 	switch {
 	case call.Start != nil:
 		clockMS, err := contained(ErrResponseLost, func() (int64, error) { return l.ports.Workers.Start(ctx, call.Target, *call.Start) })
--- a/internal/pool/port.go
+++ b/internal/pool/port.go
@@ -118,6 +118,9 @@
 	ErrIncarnation           = errors.New("another incarnation of the worker responded")
 	ErrInvalid               = errors.New("worker refused the order as malformed")
 	ErrUnreachable           = errors.New("worker unreachable")
+	// ErrPermissionExpired is not returned by a WorkerPort: the loop did not send the order,
+	// since the ownership or the configuration is no longer certain.
+	ErrPermissionExpired = errors.New("order not sent: the ownership or the configuration is no longer certain")
 	// ErrResponseLost means that the order may or may not be executed, now or later.
 	ErrResponseLost = errors.New("response lost")
 )
--- a/internal/poolhost/configuration.go
+++ b/internal/poolhost/configuration.go
@@ -122,7 +122,7 @@
 	if d.current == nil {
 		return nil, 0, false
 	}
-	age := elapsed(d.clock.Now(), d.lastConfirmed)
+	age := pool.Elapsed(d.clock.Now(), d.lastConfirmed)
 	fresh := age <= d.keyRevocationLimit-revocationMargin
 	if fresh == d.stale {
 		d.stale = !fresh
--- a/internal/poolhost/elector.go
+++ b/internal/poolhost/elector.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chervilrun/chervilrun/internal/event"
+	"github.com/chervilrun/chervilrun/internal/pool"
 	"github.com/chervilrun/chervilrun/internal/store"
 )
 
@@ -187,13 +188,7 @@
 	if e.fence == 0 {
 		return 0, false
 	}
-	return elapsed(e.clock.Now(), e.lastRenewal), true
-}
-
-// elapsed returns the larger of the differences by the monotonic clock and by the wall
-// clock, since the monotonic clock does not advance while the machine is suspended.
-func elapsed(now, then time.Time) time.Duration {
-	return max(now.Sub(then), now.Round(0).Sub(then.Round(0)))
+	return pool.Elapsed(e.clock.Now(), e.lastRenewal), true
 }
 
 // run takes part in elections until ctx ends.
