--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -42,6 +42,16 @@
 	code       = regexp.MustCompile("`([a-z_]+)`")
 )
 
+// TestFailuresAreShown checks that every test that the page names is there.
+func TestFailuresAreShown(t *testing.T) {
+	names := testName.FindAllString(read(t, "FAILURES.md"), -1)
+	require.NotEmpty(t, names)
+	tests := sources(t)
+	for _, name := range names {
+		require.Contains(t, tests, "func "+name+"(", name)
+	}
+}
+
 // TestProofsExist checks that every test, scenario and mutant that the page names is there.
 func TestProofsExist(t *testing.T) {
 	page := read(t, "PROOFS.md")
