Callers of a job whose stored record can't be decoded get an answer

Cause: a zone's owner that submits a job and finds an undecodable record under its key gave up without a word; the callers waited until their own timeouts, and the job stayed in memory. Ruled out: to refuse it as not run, since the record may be of a job that has run. Change: they are told that the outcome is unknown (conflict), and the job is dropped. Test: TestUndecodableRecordOfASubmittedJob (fails before: no answer within 20 s).

--- a/internal/zone/load.go
+++ b/internal/zone/load.go
@@ -7,6 +7,7 @@
 	"github.com/chervilrun/chervilrun/internal/event"
 	"github.com/chervilrun/chervilrun/internal/job"
 	"github.com/chervilrun/chervilrun/internal/model"
+	"github.com/chervilrun/chervilrun/internal/outcome"
 	"github.com/chervilrun/chervilrun/internal/store"
 )
 
@@ -102,10 +103,12 @@
 }
 
 // replaceWithStored replaces a newly submitted job by the record that the store already
-// has of it, for example one that another zone's owner moved here.
+// has of it, for example one that another zone's owner moved here. If that can't be
+// decoded, nobody knows whether the job has run.
 func (r *Runner) replaceWithStored(j *jobState, stored *store.KeyValue, now time.Time) {
 	record, err := job.Decode(stored.Value)
 	if err != nil {
+		r.rejectUnrecorded(j, outcome.UnknownBecause(outcome.ReasonConflict, "the store holds a record of this job that can't be decoded: %v", err))
 		return
 	}
 	j.record = record
