Count the failure of a run once over a takeover

An owner records a failure before it acknowledges the end. If it dies in between, while other members of the gang are still unread, the next owner restored the count but not which run it was for, was told of the same end again and counted it twice, so that a job could fail early. Change: the progress of a task group names the run whose failure is counted. Progress without it is read as before.

--- a/internal/pool/taskgroup.go
+++ b/internal/pool/taskgroup.go
@@ -97,7 +97,7 @@
 
 // restore sets the state from recorded progress. A run whose workers are recorded may exist.
 func (g *taskGroup) restore(stored workflow.TaskGroupProgress) {
-	g.run, g.failures, g.checkpoint = stored.Run, stored.Failures, stored.Checkpoint
+	g.run, g.failures, g.failedRun, g.checkpoint = stored.Run, stored.Failures, stored.FailedRun, stored.Checkpoint
 	if stored.Run > 0 {
 		g.job.started = true
 	}
@@ -117,7 +117,7 @@
 	if g.finished() {
 		return workflow.TaskGroupProgress{Done: true, Run: g.run}, true
 	}
-	stored := workflow.TaskGroupProgress{Run: g.run, Failures: g.failures, Checkpoint: g.checkpoint}
+	stored := workflow.TaskGroupProgress{Run: g.run, Failures: g.failures, FailedRun: g.failedRun, Checkpoint: g.checkpoint}
 	if g.holdsResources() {
 		for _, m := range g.members {
 			stored.Workers = append(stored.Workers, m.workerID)
--- a/internal/workflow/record.go
+++ b/internal/workflow/record.go
@@ -79,6 +79,9 @@
 	// Workers lists the workers of the latest run, by index of the task; empty when all its
 	// tasks are known to have ended.
 	Workers []model.WorkerID `json:"w,omitempty"`
+	// FailedRun is the latest run whose failure Failures counts, so that the next owner does
+	// not count it again when a worker lists its end once more.
+	FailedRun int `json:"failed_run,omitempty"`
 }
 
 // Encode returns the JSON encoding of a Record or Progress.
