Log crashes of workers with their evidence and the runs concerned

A crash was visible only as why=other_incarnation of each run that it took along; a lapsed lease, a worker that had left and an order that never arrived looked alike, and nothing said which runs met in the same crash.

2109 names the evidence and the runs. A silent worker counts as crashed only once it is unlisted beyond its lease without having been draining, and 2117 takes that back if it returns as the same incarnation. Workers that end by order (draining, upkeep) don't count. No decision depends on it yet.

--- a/internal/ctl/command/logs.go
+++ b/internal/ctl/command/logs.go
@@ -125,6 +125,7 @@
 var workerEvents = map[event.Number]bool{
 	event.WorkerSilent: true, event.WorkerAnswers: true, event.WorkerLost: true, event.WorkerRestarted: true,
 	event.WorkerDraining: true, event.WorkerUnlisted: true, event.WorkerQuarantined: true, event.WorkerSlow: true,
+	event.WorkerCrashed: true, event.CrashRetracted: true,
 }
 
 // relatedEntries returns the lines that contain an id, sorted by time. It adds the context
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -94,6 +94,7 @@
 	WorkerRestarted     Number = 2106
 	WorkerDraining      Number = 2107
 	WorkerUnlisted      Number = 2108
+	WorkerCrashed       Number = 2109
 	RunUnexplained      Number = 2110
 	OrderUnanswered     Number = 2111
 	OrderRefused        Number = 2112
@@ -101,6 +102,7 @@
 	TaskStalled         Number = 2114
 	AdviceTaken         Number = 2115
 	AdviceMissing       Number = 2116
+	CrashRetracted      Number = 2117
 	UpkeepWaveSeen      Number = 2120
 	UpkeepWaveCompleted Number = 2121
 	UpkeepOrdered       Number = 2122
@@ -191,6 +193,8 @@
 	WorkerRestarted:     {"worker reborn", logrus.WarnLevel, "The worker has restarted under the same id; the tasks that ran there are lost."},
 	WorkerDraining:      {"worker draining", logrus.InfoLevel, "The worker is about to leave the pool; it gets no new tasks."},
 	WorkerUnlisted:      {"worker unlisted", logrus.InfoLevel, "The worker is no longer in the list of workers."},
+	WorkerCrashed:       {"worker crashed", logrus.WarnLevel, "The worker has crashed while runs were on it or may have been; the evidence field says what shows it."},
+	CrashRetracted:      {"crash retracted", logrus.InfoLevel, "A worker that was silent and unlisted, and counted as crashed, is back: it was only cut off."},
 	RunUnexplained:      {"run unexplained", logrus.WarnLevel, "A worker reports a run that no record accounts for; the run is stopped."},
 	OrderUnanswered:     {"order unanswered", logrus.WarnLevel, "A start got no response; the run is stopped, and it is started elsewhere only after it is known to have ended."},
 	OrderRefused:        {"order refused", logrus.WarnLevel, "A worker refused a start."},
--- a/internal/pool/advance.go
+++ b/internal/pool/advance.go
@@ -82,7 +82,7 @@
 	for _, w := range o.workers.all() {
 		if w.members.len() == 0 {
 			if !w.listed && !w.renewalInFlight {
-				o.workers.remove(w.info.ID)
+				o.removeWorker(w)
 			}
 			continue
 		}
@@ -97,6 +97,7 @@
 		})
 		w.claimed = false
 		for _, m := range w.members.all() {
+			w.lostRuns = append(w.lostRuns, lostRun{m.group, m.run})
 			o.memberEnded(m, EndLeaseExpired, "", "lease_lapsed")
 		}
 	}
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -41,11 +41,14 @@
 	// from all of its workers.
 	recoveringTaskGroups []*taskGroup
 
-	peaks         map[peakKey]peak
-	reclaims      map[reclaimKey]ReclaimReport
-	upkeep        upkeep
-	quarantine    *quarantine.List
-	ownershipLost bool
+	peaks      map[peakKey]peak
+	reclaims   map[reclaimKey]ReclaimReport
+	upkeep     upkeep
+	quarantine *quarantine.List
+	// unlistedWorkers are the workers that count as crashed until they come back as the same
+	// incarnation.
+	unlistedWorkers map[model.WorkerID]unlistedWorker
+	ownershipLost   bool
 	// planNeeded is true when something has changed that may affect a plan.
 	planNeeded        bool
 	lastPlanAt        time.Time
@@ -82,6 +85,8 @@
 		index:      newIndex(),
 		peaks:      map[peakKey]peak{},
 		reclaims:   map[reclaimKey]ReclaimReport{},
+
+		unlistedWorkers: map[model.WorkerID]unlistedWorker{},
 		quarantine: quarantine.NewList(quarantine.Rule{
 			Failures: quarantineFailures,
 			Base:     timing.QuarantineBase,
@@ -120,6 +125,7 @@
 func (o *Owner) updateWorker(info WorkerInfo) {
 	w, known := o.workers.get(info.ID)
 	if !known {
+		o.handleNewWorker(info)
 		o.workers.set(info.ID, newWorker(info, o.now))
 		return
 	}
@@ -151,7 +157,7 @@
 		o.dropRuns(w, "worker_left")
 	}
 	if w.members.len() == 0 && !w.renewalInFlight {
-		o.workers.remove(w.info.ID)
+		o.removeWorker(w)
 	}
 }
 
@@ -160,6 +166,8 @@
 // listed what it runs.
 func (o *Owner) handleRestart(w *worker, incarnation int64) {
 	o.emit(event.WorkerRestarted, event.Subject{Worker: string(w.info.ID)}, event.Fields{"born": incarnation, "before": w.incarnation, "runs": w.members.len()})
+	o.workerCrashed(w, crashRestarted)
+	w.upkeepOrdered = false
 	w.incarnation = incarnation
 	w.claimed = false
 	w.acknowledged, w.processed, w.pendingAcks = 0, 0, nil
--- a/internal/pool/responses.go
+++ b/internal/pool/responses.go
@@ -154,6 +154,8 @@
 		o.emit(event.WorkerAnswers, subject, event.Fields{"silent_ms": o.now.Sub(w.failingSince).Milliseconds()})
 	}
 	w.claimed, w.failingSince, w.lastResponseAt = true, time.Time{}, o.now
+	// A worker that answers as the same incarnation was only silent.
+	w.lostRuns = nil
 	w.readClock(inventory.ClockMS, o.now)
 }
 
@@ -183,6 +185,7 @@
 		o.emit(event.WorkerSilent, event.Subject{Worker: string(w.info.ID)}, event.Fields{"why": err.Error(), "runs": w.members.len()})
 	}
 	if errors.Is(err, ErrIncarnation) {
+		o.workerCrashed(w, crashReplaced)
 		o.dropRuns(w, "other_incarnation")
 	}
 	w.nextRenewal = o.now.Add(o.timing.RenewalRetryDelay)
--- a/internal/pool/upkeep.go
+++ b/internal/pool/upkeep.go
@@ -281,6 +281,9 @@
 		m.previousWorker = o.upkeep.machines[id].Worker
 	}
 	m.ordered, m.inFlight = true, true
+	if w, ok := o.workers.get(m.previousWorker); ok {
+		w.upkeepOrdered = true
+	}
 	o.pendingCalls = append(o.pendingCalls, Call{
 		Upkeep: &UpkeepOrder{Machine: id, Wave: w.Number, Fence: o.fence},
 		Sent:   o.now, Timeout: machineTimeout, waveMachine: m,
--- a/internal/pool/worker.go
+++ b/internal/pool/worker.go
@@ -56,6 +56,12 @@
 	leavesAt time.Time
 	// cordoned workers get no new tasks, since their machine is about to go into upkeep.
 	cordoned bool
+	// upkeepOrdered is true once the upkeep of the worker's machine was ordered, which ends
+	// the worker.
+	upkeepOrdered bool
+	// lostRuns are the runs that were given up when the worker's lease had expired, until the
+	// worker answers again or is known to have crashed.
+	lostRuns []lostRun
 	// throttledAt is when the share of a filler was last changed.
 	throttledAt time.Time
 	// slowUntil is the time until which the worker counts as slow.
