--- a/internal/pool/simulation_test.go
+++ b/internal/pool/simulation_test.go
@@ -59,6 +59,12 @@
 	loseWrites   int
 	lateWrites   time.Duration
 
+	// crashAfter decides whether a run crashes its worker, and after how long; crashedWorkers
+	// are what the list of workers still names of those that came back under another ID.
+	crashAfter     func(run *fakeRun) (crashes bool, after time.Duration)
+	restart        workerRestart
+	crashedWorkers []pool.WorkerInfo
+
 	// adviserAllows decides which workers may run a step. machinesDown holds the start of
 	// each upkeep in progress, at most maxMachinesDown; machinesDone marks completed ones.
 	adviserAllows   func(step string, worker model.WorkerID) bool
@@ -78,7 +84,7 @@
 		records:      map[model.JobID]*workflow.Record{},
 		machinesDown: map[pool.MachineID]time.Time{}, machinesDone: map[pool.MachineID]bool{},
 	}
-	sim.audit = audit{sim: sim, done: map[model.TaskID]bool{}, finished: map[model.TaskID]bool{}, discarded: map[endKey]bool{}, running: map[model.TaskID]int{}, failed: map[model.TaskID]int{}}
+	sim.audit = audit{sim: sim, done: map[model.TaskID]bool{}, finished: map[model.TaskID]bool{}, discarded: map[endKey]bool{}, running: map[model.TaskID]int{}, failed: map[model.TaskID]int{}, crashes: map[model.TaskID]int{}, startsAfterCrashes: map[model.TaskID]int{}}
 	for rack := range racks {
 		for i := range perRack {
 			sim.addWorker(rack, i)
@@ -162,6 +168,7 @@
 			list = append(list, worker.info)
 		}
 	}
+	list = append(list, sim.crashedWorkers...)
 	o.owner.SetWorkers(list, sim.now())
 	o.owner.SetPolicy(sim.policy, sim.now())
 	o.load()
@@ -294,11 +301,11 @@
 		lost, late = sim.loseCall(call)
 	}
 	if lost {
-		incarnation := sim.workers[call.Target.Worker].incarnation
+		incarnation := sim.incarnationOf(call.Target.Worker)
 		sim.after(late, func() {
 			// A delayed order does not outlive the incarnation of the worker that it was
 			// sent to: see docs/design/071-platform-questions.md.
-			if sim.workers[call.Target.Worker].incarnation == incarnation {
+			if sim.incarnationOf(call.Target.Worker) == incarnation {
 				sim.execute(call)
 			}
 		})
@@ -389,13 +396,13 @@
 		sim.after(sim.networkDelay(), func() { o.handleResult(call, inventory, err) })
 		return
 	}
-	incarnation := sim.workers[call.Target.Worker].incarnation
+	incarnation := sim.incarnationOf(call.Target.Worker)
 	sim.after(20*time.Millisecond, func() {
 		if sim.unreachable[call.Target.Worker] {
 			sim.after(call.Timeout, func() { o.handleResult(call, pool.Inventory{}, pool.ErrResponseLost) })
 			return
 		}
-		if sim.workers[call.Target.Worker].incarnation != incarnation {
+		if sim.incarnationOf(call.Target.Worker) != incarnation || sim.workers[call.Target.Worker].down {
 			// The worker has restarted, which closed the connection.
 			sim.after(sim.networkDelay(), func() { o.handleResult(call, pool.Inventory{}, pool.ErrResponseLost) })
 			return
@@ -410,12 +417,13 @@
 
 func (sim *simulation) execute(call pool.Call) (pool.Inventory, error) {
 	worker := sim.workers[call.Target.Worker]
-	if worker != nil {
-		worker.advance()
+	if worker == nil {
+		return pool.Inventory{}, sim.replacementError(call.Target.Address)
 	}
-	if worker == nil || worker.down {
+	if worker.down {
 		return pool.Inventory{}, pool.ErrUnreachable
 	}
+	worker.advance()
 	switch {
 	case call.Start != nil:
 		err := worker.start(*call.Start)
@@ -611,6 +619,7 @@
 	}
 	f.runs[key] = run
 	f.sim.audit.started(f, run)
+	f.crashLater(run)
 	return nil
 }
 
@@ -827,6 +836,11 @@
 	discarded map[endKey]bool
 	running   map[model.TaskID]int
 	failed    map[model.TaskID]int
+	// crashes counts the workers that a task has crashed, startsAfterCrashes its starts after
+	// maxCrashes of them; lostRuns counts the runs of other tasks that were lost with them.
+	crashes            map[model.TaskID]int
+	startsAfterCrashes map[model.TaskID]int
+	lostRuns           int
 	// faults is true if orders get lost, so that a gang may be incomplete.
 	faults bool
 	// starts counts the starts, resumes those from a checkpoint.
@@ -843,6 +857,7 @@
 	if run.previousWork > 0 {
 		a.resumes++
 	}
+	a.checkCrashes(id)
 	require.False(sim.t, a.done[id], "%s started after it was done", id)
 	require.Zero(sim.t, a.running[id], "%s started while it was running", id)
 	a.running[id]++
