Tasks that crash worker after worker are isolated and given up

Cause: only ends that a worker lists as failed were counted. A worker that crashes lists nothing; its runs end as lapsed and were started again without limit (hypothesis 1). Counting alone would give innocent neighbours up: a gang was in 5 of 11 crashes (hypothesis 3).

Change: crashes are counted by run and stored with the job's progress; suspected task groups run on empty workers; the job is given up at four crashes (five if none met the run alone), unless the rate at which workers crash by themselves explains them.

A delayed order no longer reaches a worker that was down when it was sent.

--- a/internal/pool/advance.go
+++ b/internal/pool/advance.go
@@ -97,7 +97,7 @@
 		})
 		w.claimed = false
 		for _, m := range w.members.all() {
-			w.lostRuns = append(w.lostRuns, lostRun{m.group, m.run})
+			w.lostRuns = append(w.lostRuns, o.lostRunOf(w, m))
 			o.memberEnded(m, EndLeaseExpired, "", "lease_lapsed")
 		}
 	}
@@ -113,7 +113,7 @@
 	for _, g := range o.stillRecovering() {
 		for _, m := range g.members {
 			if m.phase == memberUnverified {
-				o.markGone(m)
+				o.unverifiedUnreachable(m)
 			}
 		}
 		o.markChanged(g.job)
--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -1,10 +1,12 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chervilrun/chervilrun/internal/event"
 	"github.com/chervilrun/chervilrun/internal/model"
+	plan "github.com/chervilrun/chervilrun/internal/scheduler/pool"
 )
 
 // crashEvidence is what shows that a worker has crashed, and was not only silent.
@@ -25,6 +27,10 @@
 type lostRun struct {
 	group *taskGroup
 	run   int
+	// ranFor is how long the run was on the worker, at most.
+	ranFor time.Duration
+	// alone is true if nothing else ran on the worker.
+	alone bool
 }
 
 // unlistedWorker is a worker that counts as crashed because it was silent and is unlisted.
@@ -38,6 +44,33 @@
 // same incarnation and take the crash back.
 const unlistedWorkerRetention = 5 * time.Minute
 
+// Limits on the crashes of workers under the runs of a task group. A crash concerns all runs on
+// the worker, most of them innocent. So that these are not given up with the one at fault,
+// suspected task groups are kept apart, and then run alone.
+const (
+	// maxCrashes is the number of crashes at which the job is given up if workers hardly ever
+	// crash by themselves and one of these crashes met nothing else; else one more is
+	// needed. Users count those of three workers, and bear less than three starts after that.
+	maxCrashes = 4
+	// maxExpectedCrashes is how many crashes may be expected by chance for the job to be given
+	// up at maxCrashes, and how many more for each further crash.
+	maxExpectedCrashes = 0.25
+	// crashRatePeriod is the time over which the rate is measured at which workers crash.
+	crashRatePeriod = time.Minute
+	// minCrashRatePeriod is the shortest such time, for an owner that has just taken over.
+	minCrashRatePeriod = 10 * time.Second
+	// isolatedFromCrashes is the number of crashes from which on a task group runs on workers
+	// that run nothing else.
+	isolatedFromCrashes = 2
+	// isolationWait is how long such a task group waits for workers that run nothing else.
+	isolationWait = 20 * time.Second
+	// isolationPeriod is how long its workers get no other tasks after it has started.
+	isolationPeriod = 5 * time.Second
+	// crashForgiveness is the run time after which the earlier crashes no longer count, so that
+	// a long-running task isn't blamed for the workers that crash by themselves in its life.
+	crashForgiveness = time.Minute
+)
+
 // maxLoggedRuns limits the runs named in one event.
 const maxLoggedRuns = 16
 
@@ -48,37 +81,205 @@
 // workerCrashed handles the crash of a worker: it concerns the runs that are or may be on it
 // and those that were given up when its lease expired.
 func (o *Owner) workerCrashed(w *worker, evidence crashEvidence) {
+	if w.endsByOrder() {
+		w.lostRuns = nil
+		return
+	}
+	if !w.crashed {
+		w.crashed = true
+		o.recentCrashes = append(o.recentCrashes, o.now)
+	}
 	var runs []lostRun
 	for _, m := range w.members.all() {
 		if m.startTries > 0 || m.phase == memberRunning {
-			runs = append(runs, lostRun{m.group, m.run})
+			runs = append(runs, o.lostRunOf(w, m))
 		}
 	}
 	for _, g := range o.stillRecovering() {
 		for _, m := range g.members {
 			if m.phase == memberUnverified && m.workerID == w.info.ID {
-				runs = append(runs, lostRun{g, m.run})
+				runs = append(runs, lostRun{group: g, run: m.run})
 			}
 		}
 	}
 	runs = append(runs, w.lostRuns...)
 	w.lostRuns = nil
-	if w.endsByOrder() || len(runs) == 0 {
+	if len(runs) == 0 {
 		return
 	}
+	markAlone(runs)
 	if evidence == crashUnlisted {
 		o.unlistedWorkers[w.info.ID] = unlistedWorker{incarnation: w.incarnation, runs: runs, at: o.now}
 	}
 	o.reportCrash(w.info.ID, evidence, runs)
 }
 
-// reportCrash logs the crash of a worker with the runs that it concerns.
+// markAlone marks the runs that were alone on their worker; members of a gang are one run.
+func markAlone(runs []lostRun) {
+	for i := range runs {
+		runs[i].alone = !slices.ContainsFunc(runs, func(other lostRun) bool { return other.group != runs[i].group })
+	}
+}
+
+// lostRunOf describes the run of a member that is lost with its worker.
+func (o *Owner) lostRunOf(w *worker, m *member) lostRun {
+	lastSeen := o.now
+	if !w.failingSince.IsZero() {
+		lastSeen = w.failingSince
+	}
+	since := m.confirmedAt
+	if !m.startSentAt.IsZero() && (since.IsZero() || m.startSentAt.Before(since)) {
+		since = m.startSentAt
+	}
+	return lostRun{group: m.group, run: m.run, ranFor: max(0, lastSeen.Sub(since))}
+}
+
+// crashRate is the rate per worker at which other workers than the one that has just crashed
+// have crashed lately, per second.
+func (o *Owner) crashRate() float64 {
+	o.recentCrashes = slices.DeleteFunc(o.recentCrashes, func(at time.Time) bool { return o.now.Sub(at) > crashRatePeriod })
+	period := min(crashRatePeriod, max(minCrashRatePeriod, o.now.Sub(o.startedAt)))
+	others := max(0, len(o.recentCrashes)-1)
+	return float64(others) / (period.Seconds() * float64(max(1, o.workers.len())))
+}
+
+// reportCrash logs the crash of a worker and counts it for the runs that it concerns.
 func (o *Owner) reportCrash(id model.WorkerID, evidence crashEvidence, runs []lostRun) {
 	names := make([]string, 0, min(len(runs), maxLoggedRuns))
 	for _, lost := range runs[:min(len(runs), maxLoggedRuns)] {
 		names = append(names, string(lost.group.id))
 	}
 	o.emit(event.WorkerCrashed, event.Subject{Worker: string(id)}, event.Fields{"evidence": string(evidence), "runs": len(runs), "tasks": names})
+	rate := o.crashRate()
+	for _, lost := range runs {
+		o.countCrash(lost, id, rate)
+	}
+}
+
+// countCrash counts a run under which a worker has crashed, once. The job is given up when these
+// are more crashes than workers have by themselves at the given rate: a task that crashes its
+// workers does so soon after its start, while for any other the crashes to be expected
+// grow with its run time.
+func (o *Owner) countCrash(lost lostRun, id model.WorkerID, rate float64) {
+	g := lost.group
+	if g.finished() || g.job.isTerminal() || slices.Contains(g.crashedRuns, lost.run) {
+		return
+	}
+	g.crashedRuns = append(g.crashedRuns, lost.run)
+	if lost.alone {
+		g.loneCrashes++
+	}
+	g.expectedCrashes += rate * lost.ranFor.Seconds() * float64(g.tasks())
+	g.avoid(id)
+	o.suspects.set(g.id, g)
+	o.markChanged(g.job)
+	o.emit(event.TaskSuspected, event.Subject{Job: string(g.job.id()), Worker: string(id)}, event.Fields{
+		"piece": g.key, "run": lost.run, "alone": lost.alone, "ran_ms": lost.ranFor.Milliseconds(),
+		"crashes": len(g.crashedRuns), "expected": g.expectedCrashes, "limit": maxCrashes,
+	})
+	if g.crashesItsWorkers() {
+		o.failJob(g.job, g, "crashed_workers")
+	}
+}
+
+// crashesItsWorkers reports whether the crashes under the task group show that it causes them.
+func (g *taskGroup) crashesItsWorkers() bool {
+	excess := len(g.crashedRuns) - maxCrashes + 1
+	return (excess > 1 || excess == 1 && g.loneCrashes > 0) && g.expectedCrashes <= float64(excess)*maxExpectedCrashes
+}
+
+// retractCrash takes back a crash that was counted for a run.
+func (o *Owner) retractCrash(lost lostRun) {
+	if g := lost.group; slices.Contains(g.crashedRuns, lost.run) && !g.job.isTerminal() {
+		g.crashedRuns = slices.DeleteFunc(g.crashedRuns, func(run int) bool { return run == lost.run })
+		o.markChanged(g.job)
+	}
+}
+
+// forgiveCrashes clears the crashes of a task group that has run for long. It is called when a
+// worker lists the run, so that the time is proven.
+func (o *Owner) forgiveCrashes(g *taskGroup) {
+	if g.isSuspect() && g.state() == taskGroupRunning && o.now.Sub(g.runningSince) >= crashForgiveness {
+		g.crashedRuns, g.loneCrashes, g.expectedCrashes = nil, 0, 0
+		o.markChanged(g.job)
+	}
+}
+
+// isolation returns how far a task group has to be kept apart from others.
+func (o *Owner) isolation(g *taskGroup) plan.Isolation {
+	switch {
+	case !g.isSuspect():
+		return plan.Shared
+	case !g.mustRunAlone() || o.now.Sub(g.readySince) >= isolationWait:
+		return plan.PreferEmptyWorkers
+	}
+	return plan.EmptyWorkersOnly
+}
+
+// isSuspect reports whether a worker has crashed under the task group.
+func (g *taskGroup) isSuspect() bool { return len(g.crashedRuns) > 0 }
+
+// mustRunAlone reports whether so many workers have crashed under the task group that it runs
+// on workers that run nothing else.
+func (g *taskGroup) mustRunAlone() bool { return len(g.crashedRuns) >= isolatedFromCrashes }
+
+// forgetSuspects removes the task groups that are no longer suspected or have ended.
+func (o *Owner) forgetSuspects() {
+	for id, g := range o.suspects.all() {
+		if !g.isSuspect() || g.finished() || o.taskGroups[id] != g {
+			o.suspects.remove(id)
+		}
+	}
+}
+
+// isolatedWorkers returns the workers that get no other tasks, since a task group that has to
+// run alone is there and has not run for isolationPeriod yet.
+func (o *Owner) isolatedWorkers() map[model.WorkerID]bool {
+	isolated := map[model.WorkerID]bool{}
+	for _, g := range o.suspects.all() {
+		if !g.mustRunAlone() || g.state() == taskGroupRunning && o.now.Sub(g.runningSince) >= isolationPeriod {
+			continue
+		}
+		for _, m := range g.members {
+			if m.phase != memberGone {
+				isolated[m.workerID] = true
+			}
+		}
+	}
+	return isolated
+}
+
+// incarnationOf returns the incarnation of a worker as far as it is known; 0 if it is not.
+func (o *Owner) incarnationOf(id model.WorkerID) int64 {
+	if w, ok := o.workers.get(id); ok {
+		return w.incarnation
+	}
+	return 0
+}
+
+// unverifiedGone handles the recorded run of an earlier owner that its worker does not list. If
+// the worker has restarted since the run was recorded, it has crashed under it.
+func (o *Owner) unverifiedGone(w *worker, m *member) {
+	if m.incarnation != 0 && w.incarnation > m.incarnation && !w.endsByOrder() {
+		o.recentCrashes = append(o.recentCrashes, o.now)
+		o.reportCrash(w.info.ID, crashRestarted, []lostRun{{group: m.group, run: m.run}})
+	}
+	o.markGone(m)
+}
+
+// unverifiedUnreachable handles the recorded run of an earlier owner on a worker that has not
+// answered until every lease has expired. If the worker is not listed either, it counts as
+// crashed until it comes back.
+func (o *Owner) unverifiedUnreachable(m *member) {
+	lost := lostRun{group: m.group, run: m.run}
+	if w, ok := o.workers.get(m.workerID); ok {
+		w.lostRuns = append(w.lostRuns, lost)
+	} else {
+		u := o.unlistedWorkers[m.workerID]
+		o.unlistedWorkers[m.workerID] = unlistedWorker{incarnation: m.incarnation, runs: append(u.runs, lost), at: o.now}
+		o.reportCrash(m.workerID, crashUnlisted, []lostRun{lost})
+	}
+	o.markGone(m)
 }
 
 // handleNewWorker looks for what a worker that was not known says of earlier ones: it may
@@ -86,6 +287,9 @@
 func (o *Owner) handleNewWorker(info WorkerInfo) {
 	if u, ok := o.unlistedWorkers[info.ID]; ok && (info.Incarnation == 0 || info.Incarnation == u.incarnation) {
 		delete(o.unlistedWorkers, info.ID)
+		for _, lost := range u.runs {
+			o.retractCrash(lost)
+		}
 		o.emit(event.CrashRetracted, event.Subject{Worker: string(info.ID)}, event.Fields{"runs": len(u.runs), "unlisted_ms": o.now.Sub(u.at).Milliseconds()})
 	}
 	for id, u := range o.unlistedWorkers {
--- a/internal/pool/crash_simulation_test.go
+++ b/internal/pool/crash_simulation_test.go
@@ -1,14 +1,27 @@
 package pool_test
 
 import (
+	"flag"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/chervilrun/chervilrun/internal/event"
 	"github.com/chervilrun/chervilrun/internal/model"
 	"github.com/chervilrun/chervilrun/internal/pool"
 )
 
+var logEvents = flag.Bool("pool.events", false, "print the events of the simulated owners")
+
+// recorder returns a recorder that prints events if -pool.events is set.
+func (sim *simulation) recorder() *event.Recorder {
+	if !*logEvents {
+		return nil
+	}
+	return event.NewRecorder("owner", sim.clock, logrus.StandardLogger(), 1)
+}
+
 // workerRestart is how crashed workers come back.
 type workerRestart struct {
 	// after is how long they are away.
@@ -116,7 +129,7 @@
 		return
 	}
 	sim.owner.reload()
-	sim.after(0, sim.owner.advance)
+	sim.owner.advanceIn(0)
 }
 
 // replacementError is the error of a call to a worker that does not exist: another worker at
@@ -130,9 +143,9 @@
 	return pool.ErrUnreachable
 }
 
-// incarnationOf returns the incarnation of a worker; 0 if there is none of this ID.
+// incarnationOf returns the incarnation of a worker; 0 if none of this ID is up.
 func (sim *simulation) incarnationOf(id model.WorkerID) int64 {
-	if f := sim.workers[id]; f != nil {
+	if f := sim.workers[id]; f != nil && !f.down {
 		return f.incarnation
 	}
 	return 0
--- a/internal/pool/crash_test.go
+++ b/internal/pool/crash_test.go
@@ -1,6 +1,7 @@
 package pool_test
 
 import (
+	"flag"
 	"fmt"
 	"strings"
 	"testing"
@@ -24,7 +25,7 @@
 	"elsewhere":     {after: 8 * time.Second, newID: true, newAddress: true},
 }
 
-const crashSeeds = 4
+var crashSeeds = flag.Uint64("pool.crash.seeds", 4, "number of simulations of crashing workers, for each way in which they come back")
 
 // isDeadly reports whether a run belongs to a job that crashes its workers, by the job's ID.
 func isDeadly(run *fakeRun) bool { return strings.HasPrefix(string(run.task.Job), "deadly") }
@@ -32,8 +33,9 @@
 // forEachRestart runs a simulation for each way in which workers come back and several seeds.
 func forEachRestart(t *testing.T, f func(t *testing.T, sim *simulation)) {
 	for name, restart := range restarts {
-		for seed := range uint64(crashSeeds) {
+		for seed := range *crashSeeds {
 			t.Run(fmt.Sprintf("%s seed %d", name, seed), func(t *testing.T) {
+				t.Parallel()
 				sim := newSimulation(t, seed, 2, 6)
 				sim.audit.faults = true
 				sim.restart = restart
@@ -191,7 +193,7 @@
 // Guards against work that is given up because its workers can't be reached: they are cut off
 // and unlisted for longer than their lease, time and again, but never crash.
 func TestTasksOnWorkersThatAreCutOffAreNotGivenUp(t *testing.T) {
-	for seed := range uint64(crashSeeds) {
+	for seed := range *crashSeeds {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			sim := newSimulation(t, seed, 1, 3)
 			sim.audit.faults = true
--- a/internal/pool/explain.go
+++ b/internal/pool/explain.go
@@ -36,6 +36,8 @@
 	Done     int `json:"done"`
 	Runs     int `json:"runs"`
 	Failures int `json:"failures"`
+	// Crashes counts the runs under which a worker has crashed.
+	Crashes int `json:"crashes"`
 	// Why explains why parts of the step wait; empty if none does.
 	Why string `json:"why"`
 }
@@ -61,6 +63,7 @@
 	for _, g := range s.taskGroups {
 		e.Runs += g.run
 		e.Failures += g.failures
+		e.Crashes += len(g.crashedRuns)
 		switch g.state() {
 		case taskGroupWaiting:
 			e.Waiting++
@@ -111,6 +114,9 @@
 		return "the job has ended"
 	}
 	planGroup := o.planTaskGroup(g)
+	if planGroup.Isolation == plan.EmptyWorkersOnly {
+		return fmt.Sprintf("workers have crashed under %d of its runs, so that it waits for workers that run nothing else", len(g.crashedRuns))
+	}
 	return describeFit(planGroup, plan.Explain(o.snapshot(g.job.queue.Service, []*plan.TaskGroup{planGroup}), planGroup))
 }
 
--- a/internal/pool/index.go
+++ b/internal/pool/index.go
@@ -60,6 +60,9 @@
 func (o *Owner) addTaskGroup(g *taskGroup) {
 	o.taskGroups[g.id] = g
 	o.index.add(g)
+	if g.isSuspect() {
+		o.suspects.set(g.id, g)
+	}
 }
 
 // removeTaskGroup unregisters a task group.
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -48,7 +48,11 @@
 	// unlistedWorkers are the workers that count as crashed until they come back as the same
 	// incarnation.
 	unlistedWorkers map[model.WorkerID]unlistedWorker
-	ownershipLost   bool
+	// recentCrashes are the times of the crashes of workers within crashRatePeriod.
+	recentCrashes []time.Time
+	// suspects are the task groups under which workers have crashed.
+	suspects      orderedMap[plan.TaskGroupID, *taskGroup]
+	ownershipLost bool
 	// planNeeded is true when something has changed that may affect a plan.
 	planNeeded        bool
 	lastPlanAt        time.Time
@@ -87,6 +91,7 @@
 		reclaims:   map[reclaimKey]ReclaimReport{},
 
 		unlistedWorkers: map[model.WorkerID]unlistedWorker{},
+		suspects:        newOrderedMap[plan.TaskGroupID, *taskGroup](),
 		quarantine: quarantine.NewList(quarantine.Rule{
 			Failures: quarantineFailures,
 			Base:     timing.QuarantineBase,
@@ -167,7 +172,7 @@
 func (o *Owner) handleRestart(w *worker, incarnation int64) {
 	o.emit(event.WorkerRestarted, event.Subject{Worker: string(w.info.ID)}, event.Fields{"born": incarnation, "before": w.incarnation, "runs": w.members.len()})
 	o.workerCrashed(w, crashRestarted)
-	w.upkeepOrdered = false
+	w.upkeepOrdered, w.crashed = false, false
 	w.incarnation = incarnation
 	w.claimed = false
 	w.acknowledged, w.processed, w.pendingAcks = 0, 0, nil
@@ -178,6 +183,11 @@
 	w.ordersDue = true
 	for _, m := range w.members.all() {
 		m.stopConfirmedAt = time.Time{}
+		if m.startTries > 0 {
+			// Another try would start the run on the new incarnation and crash that as well
+			// if the task is at fault.
+			m.startDue = false
+		}
 		if m.startTries > 1 {
 			// An earlier start order may still be in flight, even if the run was confirmed.
 			m.phase = memberStarting
--- a/internal/pool/planning.go
+++ b/internal/pool/planning.go
@@ -34,6 +34,7 @@
 		}
 		return
 	}
+	o.forgetSuspects()
 	waiting := o.readyTaskGroups()
 	o.chooseClaims(waiting)
 	o.lastPlanAt, o.planNeeded = o.now, false
@@ -90,6 +91,7 @@
 		JobStarted:     g.job.started,
 		AllowedWorkers: o.allowedWorkers(g),
 		Step:           g.step.name,
+		Isolation:      o.isolation(g),
 	}
 	if spec.MaxPerWorker > 0 {
 		planGroup.TasksOnWorker = g.step.tasksPerWorker()
@@ -113,8 +115,9 @@
 // snapshot returns the planner's view of a service. It does not change the owner.
 func (o *Owner) snapshot(service model.ServiceID, waiting []*plan.TaskGroup) *plan.Snapshot {
 	s := &plan.Snapshot{Now: o.now, Waiting: waiting, Guarantees: o.policy.Guarantees, Usage: map[int]int{}, PeakUsage: map[int]int{}}
+	isolated := o.isolatedWorkers()
 	for id, w := range o.workers.all() {
-		if w.info.Service != service || !w.usable(&o.policy) || o.quarantine.Quarantined(id, o.now) {
+		if w.info.Service != service || !w.usable(&o.policy) || isolated[id] || o.quarantine.Quarantined(id, o.now) {
 			continue
 		}
 		s.Workers = append(s.Workers, plan.Worker{
--- a/internal/pool/responses.go
+++ b/internal/pool/responses.go
@@ -308,6 +308,7 @@
 		g.checkpoint = running.Checkpoint
 	}
 	m.load = running.Load
+	o.forgiveCrashes(g)
 	o.handleProgress(w, m, running.Percent)
 }
 
@@ -334,7 +335,7 @@
 	for _, g := range o.stillRecovering() {
 		for _, m := range g.members {
 			if m.phase == memberUnverified && m.workerID == w.info.ID {
-				o.markGone(m)
+				o.unverifiedGone(w, m)
 				o.markChanged(g.job)
 			}
 		}
--- a/internal/pool/runs.go
+++ b/internal/pool/runs.go
@@ -18,7 +18,7 @@
 	g.placedAt, g.runningSince = o.now, time.Time{}
 	g.members = nil
 	for index, id := range placement.Workers {
-		g.members = append(g.members, &member{group: g, index: index, run: g.run, workerID: id, share: fullShare})
+		g.members = append(g.members, &member{group: g, index: index, run: g.run, workerID: id, incarnation: o.incarnationOf(id), share: fullShare})
 		w := o.workers.getOrZero(id)
 		w.assigned = w.assigned.Add(g.step.spec.Demand())
 	}
@@ -79,7 +79,7 @@
 func (o *Owner) workersUsable(g *taskGroup) bool {
 	for _, m := range g.members {
 		w, ok := o.workers.get(m.workerID)
-		if !ok || !w.usable(&o.policy) {
+		if !ok || !w.usable(&o.policy) || w.incarnation != m.incarnation {
 			return false
 		}
 	}
@@ -208,7 +208,7 @@
 	g.failedRun = g.run
 	g.failures++
 	if !g.step.spec.LongRunning && g.failures >= g.job.queue.MaxAttempts && !g.job.isTerminal() {
-		o.failJob(g.job, g)
+		o.failJob(g.job, g, "failed_runs")
 	}
 	o.recordWorkerFailure(g, m.workerID)
 }
@@ -216,17 +216,25 @@
 // recordWorkerFailure counts a failure for the quarantine of the worker and makes the task
 // group avoid it.
 func (o *Owner) recordWorkerFailure(g *taskGroup, id model.WorkerID) {
+	g.avoid(id)
+	if o.quarantine.RecordFailure(id, g.job.id(), o.now) {
+		o.emit(event.WorkerQuarantined, event.Subject{Worker: string(id), Job: string(g.job.id())}, event.Fields{"piece": g.key})
+	}
+}
+
+// avoid makes the task group use a worker only if nothing else fits.
+func (g *taskGroup) avoid(id model.WorkerID) {
 	if g.avoidedWorkers == nil {
 		g.avoidedWorkers = map[model.WorkerID]bool{}
 	}
 	g.avoidedWorkers[id] = true
-	if o.quarantine.RecordFailure(id, g.job.id(), o.now) {
-		o.emit(event.WorkerQuarantined, event.Subject{Worker: string(id), Job: string(g.job.id())}, event.Fields{"piece": g.key})
-	}
 }
 
-func (o *Owner) failJob(j *job, g *taskGroup) {
-	o.emit(event.JobFailed, event.Subject{Job: string(j.id())}, event.Fields{"piece": g.key, "failures": g.failures, "attempts": j.queue.MaxAttempts})
+// failJob gives a job up because of a task group.
+func (o *Owner) failJob(j *job, g *taskGroup, why string) {
+	o.emit(event.JobFailed, event.Subject{Job: string(j.id())}, event.Fields{
+		"piece": g.key, "why": why, "failures": g.failures, "attempts": j.queue.MaxAttempts, "crashes": len(g.crashedRuns),
+	})
 	o.finishJob(j, workflow.Failed)
 	o.stopJob(j)
 }
@@ -251,7 +259,7 @@
 	o.markChanged(g.job)
 	o.planNeeded = true
 	if !g.job.isTerminal() {
-		o.emit(event.JobRequeued, event.Subject{Job: string(g.job.id())}, event.Fields{"piece": g.key, "run": g.run, "failures": g.failures, "resumes": g.checkpoint != ""})
+		o.emit(event.JobRequeued, event.Subject{Job: string(g.job.id())}, event.Fields{"piece": g.key, "run": g.run, "failures": g.failures, "crashes": len(g.crashedRuns), "resumes": g.checkpoint != ""})
 	}
 }
 
--- a/internal/pool/simulation_test.go
+++ b/internal/pool/simulation_test.go
@@ -128,11 +128,12 @@
 	fence   store.Revision
 	stopped bool
 	// paused owners do nothing; renewedAt is when the owner's lease was last renewed.
-	paused           bool
-	renewedAt        time.Time
-	renewing         bool
-	advanceScheduled bool
-	loaded           map[model.JobID]bool
+	paused    bool
+	renewedAt time.Time
+	renewing  bool
+	// advanceAt is the time of the next scheduled call of Advance.
+	advanceAt time.Time
+	loaded    map[model.JobID]bool
 }
 
 // takeOver creates a new owner, as after an election.
@@ -151,7 +152,7 @@
 	require.NoError(sim.t, err)
 	require.True(sim.t, result.Succeeded)
 	o := &fakeOwner{sim: sim, fence: result.Revision, renewedAt: sim.now(), renewing: true, loaded: map[model.JobID]bool{}}
-	o.owner = pool.NewOwner(uint64(o.fence), pool.DefaultTiming(workerLease, time.Hour), nil, sim.now())
+	o.owner = pool.NewOwner(uint64(o.fence), pool.DefaultTiming(workerLease, time.Hour), sim.recorder(), sim.now())
 	o.owner.SetPolicy(sim.policy, sim.now())
 	sim.owner = o
 	o.reload()
@@ -229,7 +230,7 @@
 
 func (o *fakeOwner) advance() {
 	sim := o.sim
-	o.advanceScheduled = false
+	o.advanceAt = time.Time{}
 	if o.stopped || o.paused || o.owner.OwnershipLost() {
 		return
 	}
@@ -244,10 +245,16 @@
 }
 
 func (o *fakeOwner) advanceIn(d time.Duration) {
-	if !o.advanceScheduled {
-		o.advanceScheduled = true
-		o.sim.after(d, o.advance)
+	at := o.sim.now().Add(d)
+	if !o.advanceAt.IsZero() && !at.Before(o.advanceAt) {
+		return
 	}
+	o.advanceAt = at
+	o.sim.after(d, func() {
+		if o.advanceAt.Equal(at) {
+			o.advance()
+		}
+	})
 }
 
 // deliverResult passes a result to the owner, after the end of a pause; a stopped owner gets
@@ -261,7 +268,7 @@
 		return
 	}
 	do(o.owner, o.sim.now())
-	o.sim.after(0, o.advance)
+	o.advanceIn(0)
 }
 
 // pause freezes the owner for d.
@@ -305,7 +312,7 @@
 		sim.after(late, func() {
 			// A delayed order does not outlive the incarnation of the worker that it was
 			// sent to: see docs/design/071-platform-questions.md.
-			if sim.incarnationOf(call.Target.Worker) == incarnation {
+			if incarnation != 0 && sim.incarnationOf(call.Target.Worker) == incarnation {
 				sim.execute(call)
 			}
 		})
@@ -402,7 +409,7 @@
 			sim.after(call.Timeout, func() { o.handleResult(call, pool.Inventory{}, pool.ErrResponseLost) })
 			return
 		}
-		if sim.incarnationOf(call.Target.Worker) != incarnation || sim.workers[call.Target.Worker].down {
+		if sim.incarnationOf(call.Target.Worker) != incarnation {
 			// The worker has restarted, which closed the connection.
 			sim.after(sim.networkDelay(), func() { o.handleResult(call, pool.Inventory{}, pool.ErrResponseLost) })
 			return
--- a/internal/pool/taskgroup.go
+++ b/internal/pool/taskgroup.go
@@ -51,6 +51,12 @@
 	avoidedWorkers map[model.WorkerID]bool
 	// failedRun is the run whose failure has been counted.
 	failedRun int
+	// crashedRuns are the runs under which a worker has crashed.
+	crashedRuns []int
+	// loneCrashes counts those of them that were alone on the worker.
+	loneCrashes int
+	// expectedCrashes is how many crashes were to be expected by chance during these runs.
+	expectedCrashes float64
 	// cachedPlanRun is the planner's view of the run; nil if it has to be computed.
 	cachedPlanRun *plan.Run
 }
@@ -98,6 +104,7 @@
 // restore sets the state from recorded progress. A run whose workers are recorded may exist.
 func (g *taskGroup) restore(stored workflow.TaskGroupProgress) {
 	g.run, g.failures, g.failedRun, g.checkpoint = stored.Run, stored.Failures, stored.FailedRun, stored.Checkpoint
+	g.crashedRuns, g.loneCrashes, g.expectedCrashes = stored.CrashedRuns, stored.LoneCrashes, stored.ExpectedCrashes
 	if stored.Run > 0 {
 		g.job.started = true
 	}
@@ -107,7 +114,11 @@
 	case len(stored.Workers) > 0:
 		g.chart.Fire("recover")
 		for index, worker := range stored.Workers {
-			g.members = append(g.members, &member{group: g, index: index, run: stored.Run, workerID: worker, phase: memberUnverified, share: fullShare})
+			m := &member{group: g, index: index, run: stored.Run, workerID: worker, phase: memberUnverified, share: fullShare}
+			if index < len(stored.Incarnations) {
+				m.incarnation = stored.Incarnations[index]
+			}
+			g.members = append(g.members, m)
 		}
 	}
 }
@@ -117,10 +128,14 @@
 	if g.finished() {
 		return workflow.TaskGroupProgress{Done: true, Run: g.run}, true
 	}
-	stored := workflow.TaskGroupProgress{Run: g.run, Failures: g.failures, FailedRun: g.failedRun, Checkpoint: g.checkpoint}
+	stored := workflow.TaskGroupProgress{
+		Run: g.run, Failures: g.failures, FailedRun: g.failedRun, Checkpoint: g.checkpoint,
+		CrashedRuns: g.crashedRuns, LoneCrashes: g.loneCrashes, ExpectedCrashes: g.expectedCrashes,
+	}
 	if g.holdsResources() {
 		for _, m := range g.members {
 			stored.Workers = append(stored.Workers, m.workerID)
+			stored.Incarnations = append(stored.Incarnations, m.incarnation)
 		}
 	}
 	return stored, stored.Run > 0
@@ -153,7 +168,9 @@
 	index    int
 	run      int
 	workerID model.WorkerID
-	phase    memberPhase
+	// incarnation is that of the worker when it was assigned; 0 if it is not known.
+	incarnation int64
+	phase       memberPhase
 	// startTries counts the start orders sent; startInFlight is true while one is in
 	// flight, and startDue while one is to be sent.
 	startTries    int
--- a/internal/scheduler/pool/plan.go
+++ b/internal/scheduler/pool/plan.go
@@ -32,6 +32,8 @@
 	// victimScratch is reused for the result of victimsFor.
 	victimScratch []victim
 	headroom      headroom
+	// emptyOnly restricts the search to empty workers.
+	emptyOnly bool
 	// reservations are not yet subtracted from the free resources; reservableAccelerators
 	// may still be reserved, and reservedWorkers have a reservation.
 	reservations           []reservation
@@ -50,6 +52,10 @@
 		}
 		p.applyReservations(group.Priority)
 		placement, ok := p.place(group)
+		if !ok && group.Isolation == EmptyWorkersOnly {
+			p.emptyWorkersFor(group)
+			continue
+		}
 		if !ok {
 			blockedSteps[group.Step] = group.Step != ""
 			p.reserve(group)
@@ -178,6 +184,14 @@
 func (p *planner) place(group *TaskGroup) (Placement, bool) {
 	withinGuarantee := p.withinGuarantee(group)
 	anyRack := p.mayUseAnyRack(group, withinGuarantee)
+	if group.Isolation != Shared {
+		if workers, ok := p.findEmptyWorkers(group, anyRack); ok {
+			return p.commit(group, workers, nil), true
+		}
+		if group.Isolation == EmptyWorkersOnly {
+			return Placement{}, false
+		}
+	}
 	for _, skipAvoided := range []bool{true, false} {
 		if !skipAvoided && len(group.AvoidedWorkers) == 0 {
 			break
@@ -273,6 +287,28 @@
 	return p.packTasks(group, p.allWorkers(), skipAvoided)
 }
 
+// findEmptyWorkers looks for workers that run nothing.
+func (p *planner) findEmptyWorkers(group *TaskGroup, anyRack bool) ([]model.WorkerID, bool) {
+	p.emptyOnly = true
+	defer func() { p.emptyOnly = false }()
+	return p.findFreeWorkers(group, anyRack, true)
+}
+
+// emptyWorkersFor lets workers become empty for a task group that waits for empty ones: those
+// with the most free resources get nothing more.
+func (p *planner) emptyWorkersFor(group *TaskGroup) {
+	if p.reservableAccelerators < group.accelerators() {
+		return
+	}
+	reservations, _ := p.chooseReservations(group, p.allWorkers())
+	for _, r := range reservations {
+		w := &p.workers[r.workerIndex]
+		p.reservedWorkers[r.workerIndex] = true
+		p.reservableAccelerators -= w.Capacity.Accelerators
+		w.Free = model.Resources{}
+	}
+}
+
 // findOnCandidateRack places the task group on the candidate rack with the fewest free slots
 // (best fit).
 func (p *planner) findOnCandidateRack(group *TaskGroup, skipAvoided bool) ([]model.WorkerID, bool) {
@@ -295,7 +331,7 @@
 
 func (p *planner) freeSlots(group *TaskGroup, i int, skipAvoided bool) int {
 	w := &p.workers[i]
-	if !p.allowed(group, w, skipAvoided) {
+	if !p.allowed(group, w, skipAvoided) || p.emptyOnly && !w.isEmpty() {
 		return 0
 	}
 	return group.Demand.CountIn(w.Free, p.maxTasksOn(group, w))
@@ -335,6 +371,9 @@
 	})
 	workers := make([]model.WorkerID, 0, group.Tasks)
 	emptyWorkersLeft := p.usableEmptyWorkers(group)
+	if p.emptyOnly {
+		emptyWorkersLeft = p.headroom.emptyWorkers
+	}
 	for _, o := range options {
 		if o.empty {
 			if emptyWorkersLeft == 0 {
@@ -376,6 +415,11 @@
 		}
 		w.Free = w.Free.Sub(group.Demand)
 	}
+	if group.Isolation == EmptyWorkersOnly {
+		for _, id := range workers {
+			p.workers[p.byID[id]].Free = model.Resources{}
+		}
+	}
 	if group.Priority == 0 {
 		p.urgentUsage[group.Organisation] += group.accelerators()
 	}
--- a/internal/scheduler/pool/pool.go
+++ b/internal/scheduler/pool/pool.go
@@ -66,11 +66,26 @@
 	Estimate time.Duration
 	// JobStarted is true once a task of the same job has been started.
 	JobStarted bool
+	// Isolation keeps the task group apart from others.
+	Isolation Isolation
 	// Step names the step and occurrence of the task group. Its task groups have equal
 	// demands: if one can't be placed, neither can the others. Empty means a step of its own.
 	Step string
 }
 
+// Isolation is how far a task group is kept apart from the runs of others.
+type Isolation int
+
+const (
+	// Shared task groups run beside any others.
+	Shared Isolation = iota
+	// PreferEmptyWorkers makes a task group use empty workers if it can.
+	PreferEmptyWorkers
+	// EmptyWorkersOnly makes a task group wait for empty workers. They get no other task
+	// group in the same plan.
+	EmptyWorkersOnly
+)
+
 func (g *TaskGroup) accelerators() int { return g.Tasks * g.Demand.Accelerators }
 
 // Run is a task group that holds resources on workers. Plan does not change it.
--- a/internal/workflow/record.go
+++ b/internal/workflow/record.go
@@ -79,6 +79,14 @@
 	// Workers lists the workers of the latest run, by index of the task; empty when all its
 	// tasks are known to have ended.
 	Workers []model.WorkerID `json:"w,omitempty"`
+	// Incarnations are those of Workers when they were assigned; 0 where it was not known.
+	Incarnations []int64 `json:"i,omitempty"`
+	// CrashedRuns lists the runs under which a worker has crashed.
+	CrashedRuns []int `json:"crashed,omitempty"`
+	// LoneCrashes counts those of them that were alone on the worker.
+	LoneCrashes int `json:"lone_crashes,omitempty"`
+	// ExpectedCrashes is how many crashes were to be expected by chance during these runs.
+	ExpectedCrashes float64 `json:"expected_crashes,omitempty"`
 	// FailedRun is the latest run whose failure Failures counts, so that the next owner does
 	// not count it again when a worker lists its end once more.
 	FailedRun int `json:"failed_run,omitempty"`
