Capacities that shrink while workers run: test; counts of crashes in a package of their own

internal/scheduler/crashes holds the rule on counts and the rate of crashes, since the zones' owner needs them too; no change of behaviour in the pool.

--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -6,6 +6,7 @@
 
 	"github.com/chervilrun/chervilrun/internal/event"
 	"github.com/chervilrun/chervilrun/internal/model"
+	"github.com/chervilrun/chervilrun/internal/scheduler/crashes"
 	plan "github.com/chervilrun/chervilrun/internal/scheduler/pool"
 )
 
@@ -44,21 +45,9 @@
 // same incarnation and take the crash back.
 const unlistedWorkerRetention = 5 * time.Minute
 
-// Limits on the crashes of workers under the runs of a task group. A crash concerns all runs on
-// the worker, most of them innocent. So that these are not given up with the one at fault,
-// suspected task groups are kept apart, and then run alone.
+// A crash concerns all runs on the worker, most of them innocent. So that these are not given up
+// with the one at fault, suspected task groups are kept apart, and then run alone.
 const (
-	// maxCrashes is the number of crashes at which the job is given up if workers hardly ever
-	// crash by themselves and one of these crashes met nothing else; else one more is
-	// needed. Users count those of three workers, and bear less than three starts after that.
-	maxCrashes = 4
-	// maxExpectedCrashes is how many crashes may be expected by chance for the job to be given
-	// up at maxCrashes, and how many more for each further crash.
-	maxExpectedCrashes = 0.25
-	// crashRatePeriod is the time over which the rate is measured at which workers crash.
-	crashRatePeriod = time.Minute
-	// minCrashRatePeriod is the shortest such time, for an owner that has just taken over.
-	minCrashRatePeriod = 10 * time.Second
 	// isolatedFromCrashes is the number of crashes from which on a task group runs on workers
 	// that run nothing else.
 	isolatedFromCrashes = 2
@@ -66,9 +55,6 @@
 	isolationWait = 20 * time.Second
 	// isolationPeriod is how long its workers get no other tasks after it has started.
 	isolationPeriod = 5 * time.Second
-	// crashForgiveness is the run time after which the earlier crashes no longer count, so that
-	// a long-running task isn't blamed for the workers that crash by themselves in its life.
-	crashForgiveness = time.Minute
 )
 
 // maxLoggedRuns limits the runs named in one event.
@@ -87,7 +73,7 @@
 	}
 	if !w.crashed {
 		w.crashed = true
-		o.recentCrashes = append(o.recentCrashes, o.now)
+		o.crashRate.Add(o.now)
 	}
 	var runs []lostRun
 	for _, m := range w.members.all() {
@@ -134,15 +120,6 @@
 	return lostRun{group: m.group, run: m.run, ranFor: max(0, lastSeen.Sub(since))}
 }
 
-// crashRate is the rate per worker at which other workers than the one that has just crashed
-// have crashed lately, per second.
-func (o *Owner) crashRate() float64 {
-	o.recentCrashes = slices.DeleteFunc(o.recentCrashes, func(at time.Time) bool { return o.now.Sub(at) > crashRatePeriod })
-	period := min(crashRatePeriod, max(minCrashRatePeriod, o.now.Sub(o.startedAt)))
-	others := max(0, len(o.recentCrashes)-1)
-	return float64(others) / (period.Seconds() * float64(max(1, o.workers.len())))
-}
-
 // reportCrash logs the crash of a worker and counts it for the runs that it concerns.
 func (o *Owner) reportCrash(id model.WorkerID, evidence crashEvidence, runs []lostRun) {
 	names := make([]string, 0, min(len(runs), maxLoggedRuns))
@@ -150,16 +127,14 @@
 		names = append(names, string(lost.group.id))
 	}
 	o.emit(event.WorkerCrashed, event.Subject{Worker: string(id)}, event.Fields{"evidence": string(evidence), "runs": len(runs), "tasks": names})
-	rate := o.crashRate()
+	rate := o.crashRate.PerWorker(o.workers.len(), o.now)
 	for _, lost := range runs {
 		o.countCrash(lost, id, rate)
 	}
 }
 
 // countCrash counts a run under which a worker has crashed, once. The job is given up when these
-// are more crashes than workers have by themselves at the given rate: a task that crashes its
-// workers does so soon after its start, while for any other the crashes to be expected
-// grow with its run time.
+// are more crashes than workers have by themselves at the given rate.
 func (o *Owner) countCrash(lost lostRun, id model.WorkerID, rate float64) {
 	g := lost.group
 	if g.finished() || g.job.isTerminal() || slices.Contains(g.crashedRuns, lost.run) {
@@ -175,19 +150,13 @@
 	o.markChanged(g.job)
 	o.emit(event.TaskSuspected, event.Subject{Job: string(g.job.id()), Worker: string(id)}, event.Fields{
 		"piece": g.key, "run": lost.run, "alone": lost.alone, "ran_ms": lost.ranFor.Milliseconds(),
-		"crashes": len(g.crashedRuns), "expected": g.expectedCrashes, "limit": maxCrashes,
+		"crashes": len(g.crashedRuns), "expected": g.expectedCrashes, "limit": crashes.Limit,
 	})
-	if g.crashesItsWorkers() {
+	if (crashes.Count{Crashes: len(g.crashedRuns), Lone: g.loneCrashes, Expected: g.expectedCrashes}).GivesUp() {
 		o.failJob(g.job, g, "crashed_workers")
 	}
 }
 
-// crashesItsWorkers reports whether the crashes under the task group show that it causes them.
-func (g *taskGroup) crashesItsWorkers() bool {
-	excess := len(g.crashedRuns) - maxCrashes + 1
-	return (excess > 1 || excess == 1 && g.loneCrashes > 0) && g.expectedCrashes <= float64(excess)*maxExpectedCrashes
-}
-
 // retractCrash takes back a crash that was counted for a run.
 func (o *Owner) retractCrash(lost lostRun) {
 	if g := lost.group; slices.Contains(g.crashedRuns, lost.run) && !g.job.isTerminal() {
@@ -199,7 +168,7 @@
 // forgiveCrashes clears the crashes of a task group that has run for long. It is called when a
 // worker lists the run, so that the time is proven.
 func (o *Owner) forgiveCrashes(g *taskGroup) {
-	if g.isSuspect() && g.state() == taskGroupRunning && o.now.Sub(g.runningSince) >= crashForgiveness {
+	if g.isSuspect() && g.state() == taskGroupRunning && o.now.Sub(g.runningSince) >= crashes.Forgiveness {
 		g.crashedRuns, g.loneCrashes, g.expectedCrashes = nil, 0, 0
 		o.markChanged(g.job)
 	}
@@ -261,7 +230,7 @@
 // the worker has restarted since the run was recorded, it has crashed under it.
 func (o *Owner) unverifiedGone(w *worker, m *member) {
 	if m.incarnation != 0 && w.incarnation > m.incarnation && !w.endsByOrder() {
-		o.recentCrashes = append(o.recentCrashes, o.now)
+		o.crashRate.Add(o.now)
 		o.reportCrash(w.info.ID, crashRestarted, []lostRun{{group: m.group, run: m.run}})
 	}
 	o.markGone(m)
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -7,6 +7,7 @@
 	"github.com/chervilrun/chervilrun/internal/event"
 	"github.com/chervilrun/chervilrun/internal/model"
 	"github.com/chervilrun/chervilrun/internal/panics"
+	"github.com/chervilrun/chervilrun/internal/scheduler/crashes"
 	plan "github.com/chervilrun/chervilrun/internal/scheduler/pool"
 	"github.com/chervilrun/chervilrun/internal/scheduler/quarantine"
 	"github.com/chervilrun/chervilrun/internal/store"
@@ -48,8 +49,7 @@
 	// unlistedWorkers are the workers that count as crashed until they come back as the same
 	// incarnation.
 	unlistedWorkers map[model.WorkerID]unlistedWorker
-	// recentCrashes are the times of the crashes of workers within crashRatePeriod.
-	recentCrashes []time.Time
+	crashRate       *crashes.Rate
 	// suspects are the task groups under which workers have crashed.
 	suspects      orderedMap[plan.TaskGroupID, *taskGroup]
 	ownershipLost bool
@@ -91,6 +91,7 @@
 		reclaims:   map[reclaimKey]ReclaimReport{},
 
 		unlistedWorkers: map[model.WorkerID]unlistedWorker{},
+		crashRate:       crashes.NewRate(now),
 		suspects:        newOrderedMap[plan.TaskGroupID, *taskGroup](),
 		quarantine: quarantine.NewList(quarantine.Rule{
 			Failures: quarantineFailures,
--- a/internal/pool/simulation_test.go
+++ b/internal/pool/simulation_test.go
@@ -568,6 +568,8 @@
 	ends      []pool.EndedTask
 	endCount  int64
 	lastRun   map[model.TaskID]int
+	// shrunk holds the capacities before recent shrinkages.
+	shrunk []shrinkage
 	// speed divides the run time; failTasks makes every task fail at its end.
 	speed     float64
 	failTasks bool
@@ -884,7 +886,7 @@
 			sameStep++
 		}
 	}
-	require.True(sim.t, used.Fits(f.info.Capacity), "%s exceeds its capacity: %s", f.info.ID, used)
+	require.True(sim.t, used.Fits(f.capacityInForce()), "%s exceeds its capacity: %s", f.info.ID, used)
 	if run.spec.MaxPerWorker > 0 {
 		require.LessOrEqual(sim.t, sameStep, run.spec.MaxPerWorker, "%s has too many tasks of one step", f.info.ID)
 	}
--- /dev/null
+++ b/internal/scheduler/crashes/crashes_test.go
@@ -0,0 +1,38 @@
+package crashes_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chervilrun/chervilrun/internal/scheduler/crashes"
+)
+
+func TestGivesUp(t *testing.T) {
+	for name, c := range map[string]struct {
+		count crashes.Count
+		want  bool
+	}{
+		"below the limit":                        {crashes.Count{Crashes: 3, Lone: 3}, false},
+		"at the limit":                           {crashes.Count{Crashes: 4, Lone: 1}, true},
+		"never alone":                            {crashes.Count{Crashes: 4}, false},
+		"never alone, one more":                  {crashes.Count{Crashes: 5}, true},
+		"workers crash by themselves":            {crashes.Count{Crashes: 4, Lone: 4, Expected: 0.5}, false},
+		"workers crash by themselves, one more":  {crashes.Count{Crashes: 5, Lone: 4, Expected: 0.5}, true},
+		"many crashes, as many as are expected":  {crashes.Count{Crashes: 12, Lone: 12, Expected: 3}, false},
+		"many crashes, few of them are expected": {crashes.Count{Crashes: 12, Lone: 12, Expected: 2}, true},
+	} {
+		require.Equal(t, c.want, c.count.GivesUp(), name)
+	}
+}
+
+func TestRateForgetsOldCrashes(t *testing.T) {
+	begin := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	rate := crashes.NewRate(begin)
+	for i := range 7 {
+		rate.Add(begin.Add(time.Duration(i) * 10 * time.Second))
+	}
+	require.InDelta(t, 6.0/60/10, rate.PerWorker(10, begin.Add(time.Minute)), 1e-9)
+	require.Zero(t, rate.PerWorker(10, begin.Add(3*time.Minute)))
+}
