Jobs that crash their workers are given up in the product's own way of running too

What callers saw (tests, failing before): a job whose tasks crash their workers took 20 to 24 of them down before its failed starts ended it, 42 for a gang of three, and any number when it crashed them after all of its tasks had started (not ended after ten minutes).

Cause: stopWorkerLost counted against nothing once a gang had started, and the counts of failed starts are not recorded, so that each owner began anew.

Change: the job's record holds the incarnations of its workers and the crashes under it; the rule is that of the pool (internal/scheduler/crashes). The rate of other crashes leaves out all of those in which the work itself was present: a gang that takes several workers down at once would otherwise raise the rate by itself (test with three tasks, 4 s: not ended before this).

--- a/internal/job/record.go
+++ b/internal/job/record.go
@@ -10,6 +10,7 @@
 
 	"github.com/chervilrun/chervilrun/internal/model"
 	"github.com/chervilrun/chervilrun/internal/outcome"
+	"github.com/chervilrun/chervilrun/internal/scheduler/crashes"
 )
 
 // State is a state of the state chart "job".
@@ -43,6 +44,10 @@
 	Attempts int `json:"attempts"`
 	// Placement names the worker of each task while the gang starts or runs.
 	Placement model.Placement `json:"placement,omitempty"`
+	// Incarnations are those of the workers in Placement; 0 where it was not known.
+	Incarnations []int64 `json:"incarnations,omitempty"`
+	// Crashes counts the crashes of workers under the job.
+	Crashes crashes.Count `json:"crashes,omitzero"`
 	// Checkpoints holds the latest checkpoint of each task, by task index; empty if none was taken.
 	Checkpoints []string `json:"checkpoints,omitempty"`
 	// MovedFrom is the zone that the job was moved from, after its owner had verified
--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -71,10 +71,6 @@
 		w.lostRuns = nil
 		return
 	}
-	if !w.crashed {
-		w.crashed = true
-		o.crashRate.Add(o.now)
-	}
 	var runs []lostRun
 	for _, m := range w.members.all() {
 		if m.startTries > 0 || m.phase == memberRunning {
@@ -90,6 +86,10 @@
 	}
 	runs = append(runs, w.lostRuns...)
 	w.lostRuns = nil
+	if !w.crashed {
+		w.crashed = true
+		o.crashRate.Add(o.now, idsOf(runs)...)
+	}
 	if len(runs) == 0 {
 		return
 	}
@@ -122,20 +122,25 @@
 
 // reportCrash logs the crash of a worker and counts it for the runs that it concerns.
 func (o *Owner) reportCrash(id model.WorkerID, evidence crashEvidence, runs []lostRun) {
-	names := make([]string, 0, min(len(runs), maxLoggedRuns))
-	for _, lost := range runs[:min(len(runs), maxLoggedRuns)] {
-		names = append(names, string(lost.group.id))
-	}
+	names := idsOf(runs[:min(len(runs), maxLoggedRuns)])
 	o.emit(event.WorkerCrashed, event.Subject{Worker: string(id)}, event.Fields{"evidence": string(evidence), "runs": len(runs), "tasks": names})
-	rate := o.crashRate.PerWorker(o.workers.len(), o.now)
 	for _, lost := range runs {
-		o.countCrash(lost, id, rate)
+		o.countCrash(lost, id)
+	}
+}
+
+// idsOf returns the IDs of the task groups of runs.
+func idsOf(runs []lostRun) []string {
+	ids := make([]string, 0, len(runs))
+	for _, lost := range runs {
+		ids = append(ids, string(lost.group.id))
 	}
+	return ids
 }
 
 // countCrash counts a run under which a worker has crashed, once. The job is given up when these
-// are more crashes than workers have by themselves at the given rate.
-func (o *Owner) countCrash(lost lostRun, id model.WorkerID, rate float64) {
+// are more crashes than workers have without it.
+func (o *Owner) countCrash(lost lostRun, id model.WorkerID) {
 	g := lost.group
 	if g.finished() || g.job.isTerminal() || slices.Contains(g.crashedRuns, lost.run) {
 		return
@@ -144,6 +149,7 @@
 	if lost.alone {
 		g.loneCrashes++
 	}
+	rate := o.crashRate.WithoutWork(string(g.id), o.workers.len(), o.now)
 	g.expectedCrashes += rate * lost.ranFor.Seconds() * float64(g.tasks())
 	g.avoid(id)
 	o.suspects.set(g.id, g)
@@ -230,8 +236,9 @@
 // the worker has restarted since the run was recorded, it has crashed under it.
 func (o *Owner) unverifiedGone(w *worker, m *member) {
 	if m.incarnation != 0 && w.incarnation > m.incarnation && !w.endsByOrder() {
-		o.crashRate.Add(o.now)
-		o.reportCrash(w.info.ID, crashRestarted, []lostRun{{group: m.group, run: m.run}})
+		lost := lostRun{group: m.group, run: m.run}
+		o.crashRate.Add(o.now, idsOf([]lostRun{lost})...)
+		o.reportCrash(w.info.ID, crashRestarted, []lostRun{lost})
 	}
 	o.markGone(m)
 }
--- a/internal/scheduler/crashes/crashes.go
+++ b/internal/scheduler/crashes/crashes.go
@@ -45,22 +45,36 @@
 	minRatePeriod = 10 * time.Second
 )
 
+// crash is the crash of a worker and the work that was on it.
+type crash struct {
+	at   time.Time
+	work []string
+}
+
 // Rate measures how often workers crash.
 type Rate struct {
-	since time.Time
-	times []time.Time
+	since   time.Time
+	crashes []crash
 }
 
 // NewRate returns a rate that is measured from since on.
 func NewRate(since time.Time) *Rate { return &Rate{since: since} }
 
-// Add adds the crash of a worker.
-func (r *Rate) Add(now time.Time) { r.times = append(r.times, now) }
+// Add adds the crash of a worker with the IDs of the work that was on it.
+func (r *Rate) Add(now time.Time, work ...string) {
+	r.crashes = append(r.crashes, crash{at: now, work: work})
+}
 
-// PerWorker is the rate per second at which each of the workers crashes. It leaves out one
-// crash, the one that is being judged.
-func (r *Rate) PerWorker(workers int, now time.Time) float64 {
-	r.times = slices.DeleteFunc(r.times, func(at time.Time) bool { return now.Sub(at) > ratePeriod })
+// WithoutWork is the rate per second at which each of the workers crashes without the given
+// work on it.
+func (r *Rate) WithoutWork(id string, workers int, now time.Time) float64 {
+	r.crashes = slices.DeleteFunc(r.crashes, func(c crash) bool { return now.Sub(c.at) > ratePeriod })
+	others := 0
+	for _, c := range r.crashes {
+		if !slices.Contains(c.work, id) {
+			others++
+		}
+	}
 	period := min(ratePeriod, max(minRatePeriod, now.Sub(r.since)))
-	return float64(max(0, len(r.times)-1)) / (period.Seconds() * float64(max(1, workers)))
+	return float64(others) / (period.Seconds() * float64(max(1, workers)))
 }
--- a/internal/scheduler/crashes/crashes_test.go
+++ b/internal/scheduler/crashes/crashes_test.go
@@ -27,12 +27,17 @@
 	}
 }
 
-func TestRateForgetsOldCrashes(t *testing.T) {
+func TestRateLeavesOutTheWorkItselfAndOldCrashes(t *testing.T) {
 	begin := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
 	rate := crashes.NewRate(begin)
 	for i := range 7 {
-		rate.Add(begin.Add(time.Duration(i) * 10 * time.Second))
+		rate.Add(begin.Add(time.Duration(i)*10*time.Second), "a", "b")
 	}
-	require.InDelta(t, 6.0/60/10, rate.PerWorker(10, begin.Add(time.Minute)), 1e-9)
-	require.Zero(t, rate.PerWorker(10, begin.Add(3*time.Minute)))
+	rate.Add(begin.Add(time.Minute), "b")
+	rate.Add(begin.Add(time.Minute))
+	now := begin.Add(time.Minute)
+	require.InDelta(t, 2.0/60/10, rate.WithoutWork("a", 10, now), 1e-9)
+	require.InDelta(t, 1.0/60/10, rate.WithoutWork("b", 10, now), 1e-9)
+	require.InDelta(t, 9.0/60/10, rate.WithoutWork("c", 10, now), 1e-9)
+	require.Zero(t, rate.WithoutWork("c", 10, now.Add(2*time.Minute)))
 }
--- a/internal/standin/pool/pool.go
+++ b/internal/standin/pool/pool.go
@@ -50,8 +50,10 @@
 	order []model.WorkerID
 	// checkpoints holds the run time that each checkpoint contains.
 	checkpoints map[string]time.Duration
-	history     []*Run
-	exchanges   int
+	// crashes counts the workers that tasks have crashed, by job.
+	crashes   map[model.JobID]int
+	history   []*Run
+	exchanges int
 }
 
 // New returns an empty pool.
@@ -62,6 +64,7 @@
 		nodes:       map[model.WorkerID]*node{},
 		byEndpoint:  map[string]model.WorkerID{},
 		checkpoints: map[string]time.Duration{},
+		crashes:     map[model.JobID]int{},
 	}
 }
 
@@ -113,6 +116,13 @@
 	return true
 }
 
+// Crashes counts the workers that a job's tasks have crashed.
+func (p *Pool) Crashes(id model.JobID) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.crashes[id]
+}
+
 // Exchange implements worker.Port in process.
 func (p *Pool) Exchange(ctx context.Context, endpoint string, exchange worker.Exchange) (worker.Response, error) {
 	p.mu.Lock()
--- a/internal/standin/pool/worker.go
+++ b/internal/standin/pool/worker.go
@@ -23,6 +23,9 @@
 	IgnoreThrottle bool `json:"ignore_throttle"`
 	// Fail makes the task fail at its end.
 	Fail bool `json:"fail"`
+	// CrashMS makes the task crash its worker this long after its start, in milliseconds; 0
+	// means that it does not.
+	CrashMS int64 `json:"crash_ms"`
 	// Once marks a job that must run only once, for the audit.
 	Once bool `json:"once"`
 }
@@ -70,6 +73,10 @@
 // restart discards all state, like a power loss.
 func (n *node) restart(now time.Time) {
 	n.advance(now)
+	n.loseState(now)
+}
+
+func (n *node) loseState(now time.Time) {
 	for _, t := range n.sortedTasks() {
 		if t.state == worker.TaskRunning {
 			n.endTask(t, worker.TaskStopped, "worker restarted", now)
@@ -97,6 +104,11 @@
 		if t.state != worker.TaskRunning {
 			continue
 		}
+		if t.payload.CrashMS > 0 && !t.startedAt.Add(milliseconds(t.payload.CrashMS)).After(now) {
+			n.pool.crashes[t.start.Job]++
+			n.loseState(now)
+			return
+		}
 		finishAt := t.startedAt.Add(t.runTime() - t.resumedRunTime)
 		switch {
 		case !finishAt.After(now) && !finishAt.After(t.leaseUntil):
--- a/internal/zone/exchange.go
+++ b/internal/zone/exchange.go
@@ -254,6 +254,7 @@
 		return
 	}
 	w.machine.Fire("answer")
+	w.lostGangs = nil // it was only silent
 	w.lastSequence = response.Sequence
 	r.applyReports(w, response.Reports, now)
 }
@@ -268,6 +269,7 @@
 func (r *Runner) applyClaim(w *workerState, response worker.Response, now time.Time) {
 	w.machine.Fire("claim")
 	w.lastSequence = response.Sequence
+	r.checkRestart(w, response.Incarnation, now)
 	w.incarnation = response.Incarnation
 	r.Events.Record(event.WorkerClaimed, w.subject(), "")
 	reported := map[model.AttemptID]bool{}
--- a/internal/zone/gang.go
+++ b/internal/zone/gang.go
@@ -45,6 +45,7 @@
 	placedAt        time.Time
 	isSent          bool // a start has been sent
 	wasFullyStarted bool // every task has started
+	crashCounted    bool // the crash of one of its workers has been counted
 	// confirmBy is the deadline for sending the first start and, once that is sent, for
 	// the confirmation of every task.
 	confirmBy time.Time
@@ -144,7 +145,7 @@
 	r.gangs = append(r.gangs, g)
 	j.record.Attempt = g.attempt
 	j.record.Attempts++
-	j.record.Placement = placement
+	j.record.Placement, j.record.Incarnations = placement, r.incarnationsOf(placement)
 	r.fire(j, "place", needsIntent, now)
 	if needsIntent {
 		g.intentVersion = j.version
@@ -152,6 +153,15 @@
 	r.recordEvent(event.JobStarting, j, fmt.Sprintf("attempt %s on %d tasks", g.attempt, len(g.tasks)))
 }
 
+// incarnationsOf returns the incarnations of the workers of a placement, by task.
+func (r *Runner) incarnationsOf(placement model.Placement) []int64 {
+	incarnations := make([]int64, len(placement))
+	for i, id := range placement {
+		incarnations[i] = r.workers[id].incarnation
+	}
+	return incarnations
+}
+
 // canSendStart reports whether the starts of g may be sent now. The attempt of a job that
 // may not be repeated is recorded first, so that a later owner knows that it may have run.
 func (g *gang) canSendStart() bool {
--- a/internal/zone/requeue.go
+++ b/internal/zone/requeue.go
@@ -30,13 +30,13 @@
 	j.countFailure(g)
 	result, final := j.outcomeAfterStop(g)
 	cause := g.engineCause()
-	delay := j.retryDelay()
+	delay := max(j.retryDelay(), r.crashDelay(j))
 	requeue := !final && delay == 0 && !r.mustPark(g)
 	if g.inEngine {
 		r.Engine.Stopped(j.id(), cause, requeue, g.faultyWorkers, now)
 	}
 	j.inEngine = g.inEngine && requeue
-	j.record.Placement = nil
+	j.record.Placement, j.record.Incarnations = nil, nil
 	if final {
 		r.finishJob(j, finalState(result), result, now)
 		return
@@ -151,6 +151,8 @@
 		return outcome.UnknownBecause(reason, "stopped: %s", g.stop.detail), true
 	case !mayRepeat:
 		return outcome.UnknownBecause(reason, "attempt %s may have run partially, and the job may not be repeated", g.attempt), true
+	case j.record.Crashes.GivesUp():
+		return outcomeOfCrashes(j), true
 	case j.taskFailures >= MaxTaskFailures:
 		return outcome.UnknownBecause(reason, "%d attempts failed after all tasks had started", j.taskFailures), true
 	case j.startFailures >= MaxStartFailures:
@@ -159,6 +161,11 @@
 	return outcome.Outcome{}, false
 }
 
+// outcomeOfCrashes is the outcome of a job that is given up because it crashes its workers.
+func outcomeOfCrashes(j *jobState) outcome.Outcome {
+	return outcome.UnknownBecause(outcome.ReasonWorkerLost, "%d workers crashed under it", j.record.Crashes.Crashes)
+}
+
 func (g *gang) engineCause() scheduler.StopCause {
 	switch g.stop.cause {
 	case stopWorkerLost:
@@ -194,7 +201,12 @@
 // reconcileJob queues or ends a job of an earlier owner of which no task runs.
 func (r *Runner) reconcileJob(j *jobState, now time.Time) {
 	j.needsReconciliation = false
-	j.record.Placement = nil
+	r.countRecordedCrashes(j, now)
+	j.record.Placement, j.record.Incarnations = nil, nil
+	if j.record.Crashes.GivesUp() {
+		r.finishJob(j, job.Failed, outcomeOfCrashes(j), now)
+		return
+	}
 	if !j.record.Spec.Repeatable && j.record.Attempts > 0 && !j.isCheckpointed() {
 		lost := outcome.UnknownBecause(outcome.ReasonWorkerLost, "attempt %s may have run, and no worker reports it", j.record.Attempt)
 		r.finishJob(j, job.Failed, lost, now)
--- a/internal/zone/runner.go
+++ b/internal/zone/runner.go
@@ -9,6 +9,7 @@
 	"github.com/chervilrun/chervilrun/internal/model"
 	"github.com/chervilrun/chervilrun/internal/renewal"
 	"github.com/chervilrun/chervilrun/internal/scheduler"
+	"github.com/chervilrun/chervilrun/internal/scheduler/crashes"
 	"github.com/chervilrun/chervilrun/internal/view"
 )
 
@@ -29,6 +30,7 @@
 	orderedWorkers     []*workerState // those to exchange with, in the order of the view
 	gangs              []*gang        // starting, running or stopping
 	discovered         map[model.AttemptID]*discoveredGang
+	crashRate          *crashes.Rate
 	pendingSubmissions []*submission // waiting for the records to be loaded
 
 	// renewalPolicy spreads the routine exchanges over time.
@@ -76,6 +78,7 @@
 		jobs:          map[model.JobID]*jobState{},
 		workers:       map[model.WorkerID]*workerState{},
 		discovered:    map[model.AttemptID]*discoveredGang{},
+		crashRate:     crashes.NewRate(now),
 		recorder:      newRecorder(o.Timing, now),
 	}
 }
--- a/internal/zone/takeover.go
+++ b/internal/zone/takeover.go
@@ -197,7 +197,7 @@
 	}
 	j.record.Attempt = d.attempt
 	j.record.Attempts = max(j.record.Attempts, 1)
-	j.record.Placement = placement
+	j.record.Placement, j.record.Incarnations = placement, r.incarnationsOf(placement)
 	if j.record.Started.IsZero() {
 		j.record.Started = now
 	}
@@ -219,7 +219,9 @@
 func (r *Runner) stopPartial(d *discoveredGang, now time.Time) {
 	j := r.jobs[d.job]
 	j.needsReconciliation = false
+	r.countRecordedCrashes(j, now)
 	g := r.registerGang(j, d, false, now)
+	g.crashCounted = true
 	if len(d.tasks) < d.gangTasks {
 		// This task without a worker stands for all that were not discovered.
 		g.tasks = append(g.tasks, &task{gang: g, index: -1, machine: taskChart.New()})
--- a/internal/zone/workers.go
+++ b/internal/zone/workers.go
@@ -48,6 +48,10 @@
 	// account for.
 	untrackedTasks int
 
+	// lostGangs were on the worker when it was lost; whether it has crashed is known once it
+	// answers again.
+	lostGangs []lostGang
+
 	tasks     []*task
 	throttles []worker.Throttle
 	// endedAttempts lists the attempts that the worker reported as ended and has not yet
@@ -168,6 +172,7 @@
 func (r *Runner) markWorkerLost(w *workerState, now time.Time) {
 	w.machine.Fire("lose")
 	r.Events.Record(event.WorkerLost, w.subject(), "")
+	w.lostGangs = append(w.lostGangs, w.gangsOn(w.lastResponseAt)...)
 	for _, t := range append([]*task(nil), w.tasks...) {
 		if !t.ended() {
 			r.stopGang(t.gang, stop{cause: stopWorkerLost, reason: outcome.ReasonWorkerLost, detail: string(w.info.ID)}, now)
