Mutants of the guards on crashes; crashes that no owner saw

'No worker is left to become empty' survived: the test placed work that fits without the worker as well; it now asks for more. 'A zone's owner forgets the workers' incarnations' survived: the margin of the limit hid it.

--- a/internal/pool/crash_test.go
+++ b/internal/pool/crash_test.go
@@ -229,3 +229,21 @@
 	require.Fail(sim.t, "task runs nowhere", "%s", id)
 	return nil
 }
+
+// Guards against crashes that no owner counts: each owner dies right after a crash, before it
+// has heard of it.
+func TestCrashesThatNoOwnerSawAreCounted(t *testing.T) {
+	forEachRestart(t, func(t *testing.T, sim *simulation) {
+		id := sim.submit("deadly", "aso", normalQueue(), step(1, 1, 8*time.Second))
+		for crashes := 1; !sim.state(id).Final(); crashes++ {
+			sim.runUntil(2*time.Minute, func() bool { return sim.state(id).Final() || sim.audit.crashes["deadly.0.0.0"] >= crashes })
+			if !sim.state(id).Final() {
+				sim.owner.stopped = true
+				sim.run(ownerLease)
+				sim.takeOver()
+				sim.run(100 * time.Millisecond)
+			}
+		}
+		sim.waitFor(time.Minute, id, workflow.Failed)
+	})
+}
--- a/internal/scheduler/pool/isolation_test.go
+++ b/internal/scheduler/pool/isolation_test.go
@@ -55,7 +55,9 @@
 		addRun(s, &pool.Run{TaskGroup: pool.TaskGroupID(s.Workers[i].ID), Priority: 1}, resources(used), s.Workers[i].ID)
 	}
 	s.Waiting = []*pool.TaskGroup{isolated("a", 1, 1), taskGroup("b", 70, 1)}
-	require.Nil(t, placementOf(pool.Plan(s), "a"))
+	placements := pool.Plan(s)
+	require.Nil(t, placementOf(placements, "a"))
+	require.Nil(t, placementOf(placements, "b"), "it fits only with the worker that is left to become empty")
 	s.Waiting[1] = taskGroup("b", 66, 1)
 	b := placementOf(pool.Plan(s), "b")
 	require.Len(t, b, 66)
--- a/internal/zone/crash_test.go
+++ b/internal/zone/crash_test.go
@@ -86,6 +86,27 @@
 	}
 }
 
+// Guards against crashes that no owner counts: each owner dies right after a crash, before it
+// has heard of it, and the next one finds the workers restarted.
+func TestCrashesThatTheEarlierOwnerDidNotSeeAreCounted(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			c := newTestCluster(t, 300+seed, 8)
+			c.run(time.Second)
+			c.submitTo(c.zones[0], crashing("deadly", 1, 2*time.Second))
+			ended := c.haveEnded("deadly")
+			for crashes := 1; !ended(); crashes++ {
+				require.LessOrEqual(t, crashes, maxWorkerCrashes+1, "%v", c.unfinished([]model.JobID{"deadly"}))
+				c.runUntil(5*time.Minute, func() bool { return ended() || c.pool.Crashes("deadly") >= crashes })
+				if !ended() {
+					c.kill(c.zones[0])
+				}
+			}
+			c.requireGivenUp(t, "deadly", 1)
+		})
+	}
+}
+
 // Guards against jobs that are given up because their workers crash by themselves.
 func TestJobsOnCrashingWorkersAreNotGivenUp(t *testing.T) {
 	const meanTimeBetweenCrashes = time.Minute
