--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -88,7 +88,7 @@
 	w.lostRuns = nil
 	if !w.crashed {
 		w.crashed = true
-		o.crashRate.Add(o.now, idsOf(runs)...)
+		o.recordCrash(runs)
 	}
 	if len(runs) == 0 {
 		return
@@ -100,6 +100,12 @@
 	o.reportCrash(w.info.ID, evidence, runs)
 }
 
+// recordCrash records the crash of a worker with the runs that were on it.
+func (o *Owner) recordCrash(runs []lostRun) {
+	o.crashReport.Workers++
+	o.crashRate.Add(o.now, idsOf(runs)...)
+}
+
 // markAlone marks the runs that were alone on their worker; members of a gang are one run.
 func markAlone(runs []lostRun) {
 	for i := range runs {
@@ -159,6 +165,7 @@
 		"crashes": len(g.crashedRuns), "expected": g.expectedCrashes, "limit": crashes.Limit,
 	})
 	if (crashes.Count{Crashes: len(g.crashedRuns), Lone: g.loneCrashes, Expected: g.expectedCrashes}).GivesUp() {
+		o.crashReport.JobsGivenUp++
 		o.failJob(g.job, g, "crashed_workers")
 	}
 }
@@ -237,7 +244,7 @@
 func (o *Owner) unverifiedGone(w *worker, m *member) {
 	if m.incarnation != 0 && w.incarnation > m.incarnation && !w.endsByOrder() {
 		lost := lostRun{group: m.group, run: m.run}
-		o.crashRate.Add(o.now, idsOf([]lostRun{lost})...)
+		o.recordCrash([]lostRun{lost})
 		o.reportCrash(w.info.ID, crashRestarted, []lostRun{lost})
 	}
 	o.markGone(m)
--- a/internal/pool/crash_test.go
+++ b/internal/pool/crash_test.go
@@ -100,6 +100,19 @@
 	}
 }
 
+// Operators see the crashes, the suspects and the jobs that were given up.
+func TestReportOfCrashes(t *testing.T) {
+	sim := startSimulation(t, 1, 4)
+	sim.restart = restarts["same id"]
+	sim.crashAfter = func(run *fakeRun) (bool, time.Duration) { return isDeadly(run), 10 * time.Millisecond }
+	id := sim.submit("deadly", "aso", normalQueue(), step(1, 1, 8*time.Second))
+	require.True(t, sim.runUntil(time.Minute, func() bool { return sim.owner.owner.Report().Crashes.Workers == 2 }))
+	require.Equal(t, pool.CrashReport{Workers: 2, Suspects: 1}, sim.owner.owner.Report().Crashes)
+	sim.waitFor(time.Minute, id, workflow.Failed)
+	sim.run(time.Second)
+	require.Equal(t, pool.CrashReport{Workers: 4, JobsGivenUp: 1}, sim.owner.owner.Report().Crashes)
+}
+
 // Guards against a count of crashes that is lost when the owner changes: the owner dies right
 // after a crash, before, while and after it could record it.
 func TestCrashesAreCountedOverTakeovers(t *testing.T) {
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -50,6 +50,7 @@
 	// incarnation.
 	unlistedWorkers map[model.WorkerID]unlistedWorker
 	crashRate       *crashes.Rate
+	crashReport     CrashReport
 	// suspects are the task groups under which workers have crashed.
 	suspects      orderedMap[plan.TaskGroupID, *taskGroup]
 	ownershipLost bool
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -14,6 +14,18 @@
 	Queues        []QueueReport        `json:"queues"`
 	Organisations []OrganisationReport `json:"organisations"`
 	Reclaims      []ReclaimReport      `json:"reclaims"`
+	Crashes       CrashReport          `json:"crashes"`
+}
+
+// CrashReport counts crashes of workers since the takeover.
+type CrashReport struct {
+	// Workers counts the workers that have crashed, JobsGivenUp the jobs that were given up
+	// because they crash their workers.
+	Workers     int `json:"workers"`
+	JobsGivenUp int `json:"jobs_given_up"`
+	// Suspects counts the task groups under which workers have crashed and that have not
+	// ended.
+	Suspects int `json:"suspects"`
 }
 
 // WorkersReport counts the workers of the pool.
@@ -81,7 +93,8 @@
 
 // Report describes the state of the pool.
 func (o *Owner) Report() Report {
-	report := Report{Fence: o.fence, Workers: o.reportWorkers()}
+	report := Report{Fence: o.fence, Workers: o.reportWorkers(), Crashes: o.crashReport}
+	report.Crashes.Suspects = o.suspects.len()
 	queues := map[string]*QueueReport{}
 	organisations := map[model.OrganisationID]*OrganisationReport{}
 	for id, guaranteed := range o.policy.Guarantees {
--- a/internal/poolhost/metrics.go
+++ b/internal/poolhost/metrics.go
@@ -40,7 +40,7 @@
 
 	owner, version, age                                        *prometheus.Desc
 	workers, accelerators, jobs, oldestWaiting, unmetGuarantee *prometheus.Desc
-	reclaimed                                                  *prometheus.Desc
+	reclaimed, crashes, suspects, givenUp                      *prometheus.Desc
 }
 
 // NewCollector returns a collector of the gauges of a host. Those of the pool are exported
@@ -59,6 +59,9 @@
 		jobs:           describe("chervil_pool_jobs", "Jobs that have not ended, by priority and state.", "priority", "state"),
 		oldestWaiting:  describe("chervil_pool_oldest_waiting_seconds", "Age of the oldest job of which no task has started, by priority.", "priority"),
 		unmetGuarantee: describe("chervil_pool_guarantee_unmet_accelerators", "Accelerators within guarantees that waiting urgent work does not have."),
+		crashes:        describe("chervil_pool_worker_crashes", "Workers that have crashed since the take-over."),
+		suspects:       describe("chervil_pool_suspected_task_groups", "Task groups under which workers have crashed and that have not ended."),
+		givenUp:        describe("chervil_pool_jobs_crashing_workers", "Jobs given up since the take-over because they crash their workers."),
 		reclaimed:      describe("chervil_pool_reclaimed_core_seconds", "Work thrown away since the take-over to make room for more important work."),
 	}
 }
@@ -103,6 +106,9 @@
 		coreSeconds += r.CoreSeconds
 	}
 	gauge(c.reclaimed, coreSeconds)
+	gauge(c.crashes, float64(s.Term.Pool.Crashes.Workers))
+	gauge(c.suspects, float64(s.Term.Pool.Crashes.Suspects))
+	gauge(c.givenUp, float64(s.Term.Pool.Crashes.JobsGivenUp))
 }
 
 // sumByPriority adds up the queues of each priority. Labels by queue name would have too
