Lost workers are looked up by address once for each list of workers

A new worker was compared with all known ones, so that a first list of n workers took n*n/2 comparisons (4.5 million at 3,000). Found by reading; no behaviour changes.

--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -19,12 +19,12 @@
 	// crashReplaced: another worker answers, or is listed, at the worker's address.
 	crashReplaced crashEvidence = "replaced"
 	// crashUnlisted: the worker was silent beyond its lease and is no longer listed, although
-	// it was not draining. It may still have been cut off only: see crashRetracted.
+	// it was not draining. If it comes back as the same incarnation, the crash is taken back.
 	crashUnlisted crashEvidence = "unlisted"
 )
 
-// lostRun is a run that was given up because the lease of its worker had expired. Whether
-// the worker has crashed is known only later, if ever.
+// lostRun is a run that was lost with its worker. If the run was given up when the worker's lease
+// had expired, it is known only later, if ever, whether the worker has crashed.
 type lostRun struct {
 	group *taskGroup
 	run   int
@@ -266,12 +266,12 @@
 }
 
 // handleNewWorker looks for what a worker that was not known says of earlier ones: it may
-// have replaced one that was lost, or be one that was taken for crashed.
-func (o *Owner) handleNewWorker(info WorkerInfo) {
+// have replaced one of the lost workers, or be one that was taken for crashed.
+func (o *Owner) handleNewWorker(info WorkerInfo, lost map[string]*worker) {
 	if u, ok := o.unlistedWorkers[info.ID]; ok && (info.Incarnation == 0 || info.Incarnation == u.incarnation) {
 		delete(o.unlistedWorkers, info.ID)
-		for _, lost := range u.runs {
-			o.retractCrash(lost)
+		for _, run := range u.runs {
+			o.retractCrash(run)
 		}
 		o.emit(event.CrashRetracted, event.Subject{Worker: string(info.ID)}, event.Fields{"runs": len(u.runs), "unlisted_ms": o.now.Sub(u.at).Milliseconds()})
 	}
@@ -280,11 +280,21 @@
 			delete(o.unlistedWorkers, id)
 		}
 	}
+	if w := lost[info.Address]; w != nil {
+		o.workerCrashed(w, crashReplaced)
+	}
+}
+
+// lostWorkers returns the workers with runs that were given up when their lease had expired, by
+// address.
+func (o *Owner) lostWorkers() map[string]*worker {
+	lost := map[string]*worker{}
 	for _, w := range o.workers.all() {
-		if w.info.Address == info.Address && len(w.lostRuns) > 0 {
-			o.workerCrashed(w, crashReplaced)
+		if len(w.lostRuns) > 0 {
+			lost[w.info.Address] = w
 		}
 	}
+	return lost
 }
 
 // removeWorker forgets a worker that is not listed and on which nothing runs.
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -118,9 +118,10 @@
 	o.now = now
 	o.planNeeded = true
 	present := make(map[model.WorkerID]bool, len(list))
+	lost := o.lostWorkers()
 	for _, info := range list {
 		present[info.ID] = true
-		o.updateWorker(info)
+		o.updateWorker(info, lost)
 	}
 	for id, w := range o.workers.all() {
 		if !present[id] {
@@ -129,10 +130,10 @@
 	}
 }
 
-func (o *Owner) updateWorker(info WorkerInfo) {
+func (o *Owner) updateWorker(info WorkerInfo, lost map[string]*worker) {
 	w, known := o.workers.get(info.ID)
 	if !known {
-		o.handleNewWorker(info)
+		o.handleNewWorker(info, lost)
 		o.workers.set(info.ID, newWorker(info, o.now))
 		return
 	}
