--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -49,8 +49,9 @@
 	// unlistedWorkers are the workers that count as crashed until they come back as the same
 	// incarnation.
 	unlistedWorkers map[model.WorkerID]unlistedWorker
-	crashRate       *crashes.Rate
-	crashReport     CrashReport
+	// crashRate and crashReport count the crashes of workers since the takeover.
+	crashRate   *crashes.Rate
+	crashReport CrashReport
 	// suspects are the task groups under which workers have crashed.
 	suspects      orderedMap[plan.TaskGroupID, *taskGroup]
 	ownershipLost bool
--- a/internal/zone/crash.go
+++ b/internal/zone/crash.go
@@ -19,14 +19,15 @@
 // crashed, so that the jobs that were on it don't meet again at once.
 const maxCrashDelay = 2 * time.Second
 
-// gangsOn returns the gangs with tasks that run, or may run, on a worker.
-func (w *workerState) gangsOn(now time.Time) []lostGang {
+// gangsOn returns the gangs with tasks that run, or may run, on a worker that was last known to be
+// well at the given time.
+func (w *workerState) gangsOn(wellAt time.Time) []lostGang {
 	var found []lostGang
 	seen := map[*gang]bool{}
 	for _, t := range w.tasks {
 		if t.mayHaveStarted && !t.ended() && !seen[t.gang] {
 			seen[t.gang] = true
-			found = append(found, lostGang{t.gang, now.Sub(t.gang.placedAt)})
+			found = append(found, lostGang{t.gang, max(0, wellAt.Sub(t.gang.placedAt))})
 		}
 	}
 	return found
