--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -147,6 +147,24 @@
 	fmt.Fprintln(ts.Stdout(), describe(err))
 }
 
+// accept NAME HOST ORGANISATION SERVICE TASKS RUN_MS [OPTION...]: like submit, but repeats the
+// call while it is refused for want of an owner: the admin process of a host learns of the
+// first owner before its entry process does.
+func cmdAccept(ts *testscript.TestScript, _ bool, args []string) {
+	b := testbedOf(ts)
+	waitUntil(ts, "acceptance of "+args[0], func() error {
+		job, err := b.client(args[1], args[2]).SubmitJob(context.Background(), jobRequest(ts, args[3:]), args[0])
+		if err == nil {
+			b.jobs[args[0]] = job.ID
+			return nil
+		}
+		if described := describe(err); described != "not_run no_owner" {
+			ts.Fatalf("job %s: %s", args[0], described)
+		}
+		return err
+	})
+}
+
 // jobRequest parses SERVICE TASKS RUN_MS [OPTION...].
 func jobRequest(ts *testscript.TestScript, args []string) client.JobRequest {
 	request := client.JobRequest{
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -52,6 +52,7 @@
 			"fault":        cmdFault,
 			"request":      cmdRequest,
 			"submit":       cmdSubmit,
+			"accept":       cmdAccept,
 			"await":        cmdAwait,
 			"reach":        cmdReach,
 			"cancel":       cmdCancel,
