--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -115,15 +115,15 @@
 
 // lostRunOf describes the run of a member that is lost with its worker.
 func (o *Owner) lostRunOf(w *worker, m *member) lostRun {
-	lastSeen := o.now
+	lastAlive := o.now
 	if !w.failingSince.IsZero() {
-		lastSeen = w.failingSince
+		lastAlive = w.failingSince
 	}
 	since := m.confirmedAt
 	if !m.startSentAt.IsZero() && (since.IsZero() || m.startSentAt.Before(since)) {
 		since = m.startSentAt
 	}
-	return lostRun{group: m.group, run: m.run, ranFor: max(0, lastSeen.Sub(since))}
+	return lostRun{group: m.group, run: m.run, ranFor: max(0, lastAlive.Sub(since))}
 }
 
 // reportCrash logs the crash of a worker and counts it for the runs that it concerns.
--- a/internal/scheduler/pool/plan.go
+++ b/internal/scheduler/pool/plan.go
@@ -287,28 +287,6 @@
 	return p.packTasks(group, p.allWorkers(), skipAvoided)
 }
 
-// findEmptyWorkers looks for workers that run nothing.
-func (p *planner) findEmptyWorkers(group *TaskGroup, anyRack bool) ([]model.WorkerID, bool) {
-	p.emptyOnly = true
-	defer func() { p.emptyOnly = false }()
-	return p.findFreeWorkers(group, anyRack, true)
-}
-
-// emptyWorkersFor lets workers become empty for a task group that waits for empty ones: those
-// with the most free resources get nothing more.
-func (p *planner) emptyWorkersFor(group *TaskGroup) {
-	if p.reservableAccelerators < group.accelerators() {
-		return
-	}
-	reservations, _ := p.chooseReservations(group, p.allWorkers())
-	for _, r := range reservations {
-		w := &p.workers[r.workerIndex]
-		p.reservedWorkers[r.workerIndex] = true
-		p.reservableAccelerators -= w.Capacity.Accelerators
-		w.Free = model.Resources{}
-	}
-}
-
 // findOnCandidateRack places the task group on the candidate rack with the fewest free slots
 // (best fit).
 func (p *planner) findOnCandidateRack(group *TaskGroup, skipAvoided bool) ([]model.WorkerID, bool) {
