--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -9,7 +9,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -70,9 +72,13 @@
 		f(w, trouble)
 		finished <- ""
 	}()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
 	problem := "the case did not end in time"
 	select {
 	case problem = <-finished:
+	case <-interrupted:
+		problem = "interrupted"
 	case <-time.After(caseTimeout):
 	}
 	w.close()
