Log the state of the worker with each end that is concluded

2012 tells how a run ended, and for an end that no worker has listed only why the owner believes it. The record of the incident shows that this is too little: whether the lease still ran (and for how long), whether the worker was listed, draining or silent had to be computed. With them the three hypotheses differ in one line: a missing entry and a refused connection end runs with lease_left_ms above 0 and another why, a lease that is computed too short has lease_left_ms at 0. No decision changes.

--- a/internal/pool/crash_simulation_test.go
+++ b/internal/pool/crash_simulation_test.go
@@ -17,7 +17,7 @@
 // recorder returns a recorder that prints events if -pool.events is set.
 func (sim *simulation) recorder() *event.Recorder {
 	if !*logEvents {
-		return nil
+		return sim.timeline
 	}
 	return event.NewRecorder("owner", sim.clock, logrus.StandardLogger(), 1)
 }
--- a/internal/pool/runs.go
+++ b/internal/pool/runs.go
@@ -163,7 +163,8 @@
 	if m.phase == memberGone {
 		return
 	}
-	if w, ok := o.workers.get(m.workerID); ok {
+	w, known := o.workers.get(m.workerID)
+	if known {
 		w.release(m)
 	}
 	o.markGone(m)
@@ -176,9 +177,11 @@
 	if checkpoint != "" {
 		g.checkpoint = checkpoint
 	}
-	o.emit(event.TaskEnded, event.Subject{Job: string(g.job.id()), Worker: string(m.workerID)}, event.Fields{
-		"task": string(m.key().Task), "run": m.run, "cause": string(cause), "why": reason, "saved": checkpoint != "",
-	})
+	fields := event.Fields{"task": string(m.key().Task), "run": m.run, "cause": string(cause), "why": reason, "saved": checkpoint != ""}
+	if known && reason != "listed" {
+		o.addWorkerState(fields, w)
+	}
+	o.emit(event.TaskEnded, event.Subject{Job: string(g.job.id()), Worker: string(m.workerID)}, fields)
 	if state := g.state(); state == taskGroupStarting || state == taskGroupRunning {
 		g.noteEnd(o.now)
 	}
@@ -193,6 +196,18 @@
 	o.stopTaskGroup(g, "part_"+string(cause))
 }
 
+// addWorkerState adds what is known of a worker when the end of a run is concluded and not listed.
+// A run may live as long as its lease, so that lease_left_ms tells how much rests on the conclusion.
+func (o *Owner) addWorkerState(fields event.Fields, w *worker) {
+	fields["listed"], fields["draining"] = w.listed, w.info.Draining
+	if !w.leaseUntil.IsZero() {
+		fields["lease_left_ms"] = w.leaseUntil.Sub(o.now).Milliseconds()
+	}
+	if !w.lastResponseAt.IsZero() {
+		fields["silent_ms"] = o.now.Sub(w.lastResponseAt).Milliseconds()
+	}
+}
+
 func (o *Owner) markGone(m *member) {
 	m.phase = memberGone
 	o.invalidatePlanRun(m.group)
--- a/internal/pool/simulation_test.go
+++ b/internal/pool/simulation_test.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"github.com/chervilrun/chervilrun/internal/event"
 	"github.com/chervilrun/chervilrun/internal/eventqueue"
 	"github.com/chervilrun/chervilrun/internal/model"
 	"github.com/chervilrun/chervilrun/internal/pool"
@@ -89,6 +90,9 @@
 	failList    func() bool
 	omitMachine func(id pool.MachineID) bool
 
+	// timeline keeps the events of the owners; nil discards them.
+	timeline *event.Recorder
+
 	audit audit
 }
 
