--- a/internal/pool/draining_test.go
+++ b/internal/pool/draining_test.go
@@ -121,3 +121,63 @@
 		})
 	}
 }
+
+// Guards against a refused connection that counts as the end of a draining worker: a cut may refuse
+// while the worker runs on. Its tasks were started a second time.
+func TestDrainingWorkerThatRefusesConnectionsKeepsItsTasks(t *testing.T) {
+	for name, test := range map[string]struct {
+		task   workflow.Step
+		drains time.Duration
+		// silent is how long the entry is written no more, refuses how long connections are
+		// refused from then on.
+		silent, refuses time.Duration
+		expires         bool
+		takeOver        bool
+	}{
+		"entry expired, refused for long":     {step(1, 8, 9*time.Second), 14 * time.Second, entryLifetime, 3 * time.Second, true, false},
+		"entry expired, refused for a moment": {step(1, 8, 9*time.Second), 14 * time.Second, entryLifetime, 1200 * time.Millisecond, true, false},
+		"minimum time over":                   {serving(), time.Second, 3 * time.Second, 1200 * time.Millisecond, false, false},
+		"minimum time over, entry expired":    {serving(), time.Second, entryLifetime, 1200 * time.Millisecond, true, false},
+		"takeover meanwhile":                  {serving(), time.Second, entryLifetime, 3 * time.Second, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := startSimulation(t, 1, 4)
+			_, f := sim.submitToOneWorker(test.task)
+			f.drain(test.drains)
+			sim.run(test.silent + 100*time.Millisecond)
+			f.cutRefusing = true
+			sim.run(300 * time.Millisecond)
+			if test.expires {
+				f.unlist()
+			}
+			if test.takeOver {
+				sim.owner.stopped = true
+				sim.takeOver()
+			}
+			sim.run(test.refuses)
+			f.cutRefusing = false
+			f.list()
+			sim.run(10 * time.Second)
+			require.Equal(t, 1, sim.audit.starts)
+		})
+	}
+}
+
+// Guards against an entry that is missing soon after it was written and therefore counts as removed
+// by its draining worker: the store may have let it lapse, or another writer may have made it
+// unreadable. Tasks of the worker were started a second time.
+func TestDrainingWorkerWhoseEntryVanishesEarlyKeepsItsTasks(t *testing.T) {
+	for _, age := range []time.Duration{100 * time.Millisecond, 2 * time.Second, 4 * time.Second} {
+		t.Run(age.String(), func(t *testing.T) {
+			sim := startSimulation(t, 1, 4)
+			id, f := sim.submitToOneWorker(step(1, 8, 9*time.Second))
+			f.drain(14 * time.Second)
+			sim.run(age)
+			f.unlist()
+			sim.run(1500 * time.Millisecond)
+			f.list()
+			sim.waitFor(20*time.Second, id, workflow.Completed)
+			require.Equal(t, 1, sim.audit.starts)
+		})
+	}
+}
--- a/internal/pool/simulation_test.go
+++ b/internal/pool/simulation_test.go
@@ -517,7 +517,7 @@
 	if worker == nil {
 		return pool.Inventory{}, sim.replacementError(call.Target.Address)
 	}
-	if worker.left {
+	if worker.left || worker.cutRefusing {
 		return pool.Inventory{}, pool.ErrRefused
 	}
 	if worker.down {
@@ -661,13 +661,15 @@
 	unlisted  bool
 	down      bool
 	// left workers have ended as planned: nothing listens at their address.
-	left     bool
-	fence    uint64
-	leaseMS  int64
-	runs     map[pool.RunKey]*fakeRun
-	ends     []pool.EndedTask
-	endCount int64
-	lastRun  map[model.TaskID]int
+	left bool
+	// cutRefusing workers run, but connections to them are refused.
+	cutRefusing bool
+	fence       uint64
+	leaseMS     int64
+	runs        map[pool.RunKey]*fakeRun
+	ends        []pool.EndedTask
+	endCount    int64
+	lastRun     map[model.TaskID]int
 	// shrunk holds the capacities before recent shrinkages.
 	shrunk []shrinkage
 	// speed divides the run time; failTasks makes every task fail at its end.
