A refused connection doesn't end the runs of a draining worker

Callers saw a task run twice. A cut may refuse connections while the worker runs on, and the minimum time is a minimum.

Now a refused connection is like any other renewal that fails: the last lease decides, which ends the runs on the worker itself, so that no second run can meet the first. The port no longer tells a refused connection from another order that was not sent; nothing else used the difference.

--- a/internal/pool/port.go
+++ b/internal/pool/port.go
@@ -118,9 +118,6 @@
 	ErrIncarnation           = errors.New("another incarnation of the worker responded")
 	ErrInvalid               = errors.New("worker refused the order as malformed")
 	ErrUnreachable           = errors.New("worker unreachable")
-	// ErrRefused is an ErrUnreachable: nothing listens at the worker's address, so that the
-	// worker does not run.
-	ErrRefused = errors.WithMessage(ErrUnreachable, "connection refused")
 	// ErrPermissionExpired is not returned by a WorkerPort: the loop did not send the order,
 	// since the ownership or the configuration is no longer certain.
 	ErrPermissionExpired = errors.New("order not sent: the ownership or the configuration is no longer certain")
--- a/internal/pool/responses.go
+++ b/internal/pool/responses.go
@@ -205,9 +205,6 @@
 		o.dropRuns(w.info.ID, "other_incarnation")
 	}
 	w.nextRenewal = o.now.Add(o.timing.RenewalRetryDelay)
-	if errors.Is(err, ErrRefused) && w.info.Draining && (!w.listed || !o.now.Before(w.leavesAt)) {
-		o.workerLeft(w, "refused")
-	}
 }
 
 // processEnd processes an ended run that a worker lists.
