A missing entry doesn't end the runs of a draining worker, however young it was

Callers saw a task run twice. An entry that was missing less than 4.2 s after it was written counted as removed by its draining worker (2126, entry_removed). That assumed that entries can't vanish early; but the store may let them lapse while it is down, an entry is renewed by heartbeats that don't change it, so that a write need not put off its end, and another writer may make an entry unreadable, which looked the same to the owner.

Now no state of the list ends a run; the age of entries is not kept any more, and 2126 is gone (its number stays unused). What is lost is speed after a worker has left: its tasks wait for its last lease, 6.1 s at most, instead of starting at once.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -110,7 +110,6 @@
 	MachinesUnread      Number = 2123
 	FillerThrottled     Number = 2124
 	UpkeepBegun         Number = 2125
-	WorkerLeft          Number = 2126
 
 	GuaranteeReclaimed Number = 2200
 	GuaranteeUnmet     Number = 2201
@@ -209,7 +208,6 @@
 	UpkeepWaveSeen:      {"upkeep wave seen", logrus.InfoLevel, "Operators have requested the upkeep of a set of machines."},
 	UpkeepWaveCompleted: {"upkeep wave completed", logrus.InfoLevel, "Every machine of the wave that is still in the pool has had its upkeep."},
 	UpkeepOrdered:       {"upkeep ordered", logrus.InfoLevel, "The upkeep of a machine was ordered; the line gives the outcome."},
-	WorkerLeft:          {"worker left", logrus.InfoLevel, "A draining worker has left; the evidence field says what shows it. Its runs are given up."},
 	UpkeepBegun:         {"upkeep begun", logrus.InfoLevel, "The list of machines shows that the worker from before the upkeep has ended; its runs are given up."},
 	MachinesUnread:      {"machines unread", logrus.WarnLevel, "The list of machines could not be read."},
 	FillerThrottled:     {"filler throttled", logrus.InfoLevel, "The share of its full speed at which a filler task runs was changed for the serving tasks on the same worker."},
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -36,9 +36,6 @@
 	// TakeoverWait is how long after a takeover an unreachable worker may still run tasks
 	// under leases that the previous owner has granted.
 	TakeoverWait time.Duration
-	// WorkerEntryLifetime is how long the entry of a worker stays in the list of workers if the
-	// worker does not write it again; 0 if that is not known.
-	WorkerEntryLifetime time.Duration
 	// MachineOrderGap is the minimum time between orders of two owners for one machine.
 	MachineOrderGap time.Duration
 	// StopRetryInterval is the time between two unconfirmed stop orders for the same run.
--- a/internal/pool/port.go
+++ b/internal/pool/port.go
@@ -138,9 +138,6 @@
 	// time that it still stays, counted from when the entry was read.
 	Draining         bool
 	TimeUntilRemoval time.Duration
-	// WrittenAfter is a time before which the worker had not written the entry as it is now; zero
-	// if that is not known.
-	WrittenAfter time.Time
 	// Incarnation identifies the incarnation of the worker; it is higher after each restart. 0
 	// means that it is not known.
 	Incarnation int64
--- a/internal/pool/responses.go
+++ b/internal/pool/responses.go
@@ -168,7 +168,7 @@
 		o.planNeeded = true
 		o.emit(event.WorkerAnswers, subject, event.Fields{"silent_ms": o.now.Sub(w.failingSince).Milliseconds()})
 	}
-	w.claimed, w.left, w.failingSince, w.lastResponseAt = true, false, time.Time{}, o.now
+	w.claimed, w.failingSince, w.lastResponseAt = true, time.Time{}, o.now
 	// A worker that answers as the same incarnation was only silent.
 	w.lostRuns = nil
 	w.readClock(inventory.ClockMS, o.now)
--- a/internal/pool/worker.go
+++ b/internal/pool/worker.go
@@ -63,10 +63,8 @@
 	// upkeepOrdered is true once the upkeep of the worker's machine was ordered, which ends
 	// the worker.
 	upkeepOrdered bool
-	// crashed is true once this incarnation of the worker is known to have crashed, left once
-	// it is known to have left after it was draining.
+	// crashed is true once this incarnation of the worker is known to have crashed.
 	crashed bool
-	left    bool
 	// lostRuns are the runs that were given up when the worker's lease had expired, until the
 	// worker answers again or is known to have crashed.
 	lostRuns []lostRun
--- a/internal/pool/workerlist.go
+++ b/internal/pool/workerlist.go
@@ -50,45 +50,21 @@
 	}
 }
 
-// handleUnlisted handles a worker that is no longer in the list. It may still be running its
-// tasks: entries also expire while the store is down or can't be reached by the worker.
+// handleUnlisted handles a worker that is no longer in the list, which says nothing of its runs:
+// entries also expire while the worker or the store is cut off, and other writers may make them
+// unreadable.
 func (o *Owner) handleUnlisted(w *worker) {
 	if w.listed {
-		o.emit(event.WorkerUnlisted, event.Subject{Worker: string(w.info.ID)}, event.Fields{
-			"runs": w.members.len(), "draining": w.info.Draining, "removed": o.isEntryRemoved(w),
-		})
-		// The worker's answer shows whether it has left.
+		o.emit(event.WorkerUnlisted, event.Subject{Worker: string(w.info.ID)}, event.Fields{"runs": w.members.len(), "draining": w.info.Draining})
+		// The worker's answer shows what it still runs.
 		w.nextRenewal, w.claimWanted = o.now, true
 	}
 	w.listed = false
-	if w.info.Draining && o.isEntryRemoved(w) {
-		o.workerLeft(w, "entry_removed")
-	}
 	if o.mayForget(w) {
 		o.removeWorker(w)
 	}
 }
 
-// entryLifetimeMargin is subtracted from the lifetime of an entry, for clocks that differ.
-const entryLifetimeMargin = 300 * time.Millisecond
-
-// isEntryRemoved reports whether the missing entry of a worker was removed, which only the
-// worker does when it leaves: it was written so recently that it can't have expired.
-func (o *Owner) isEntryRemoved(w *worker) bool {
-	return !w.info.WrittenAfter.IsZero() && Elapsed(o.now, w.info.WrittenAfter) < o.timing.WorkerEntryLifetime-entryLifetimeMargin
-}
-
-// workerLeft handles a draining worker that has left and runs nothing any more.
-func (o *Owner) workerLeft(w *worker, evidence string) {
-	if w.left {
-		return
-	}
-	w.left = true
-	w.nextRenewal = o.now.Add(o.timing.IdleRenewalInterval)
-	o.emit(event.WorkerLeft, event.Subject{Worker: string(w.info.ID)}, event.Fields{"evidence": evidence, "runs": w.members.len(), "listed": w.listed})
-	o.dropRuns(w.info.ID, "worker_left")
-}
-
 // mayForget reports whether nothing is or may be on a worker that is not listed.
 func (o *Owner) mayForget(w *worker) bool {
 	return !w.listed && w.members.len() == 0 && !w.renewalInFlight && !o.hasUnverifiedRuns(w.info.ID)
@@ -100,7 +76,7 @@
 func (o *Owner) handleRestart(w *worker, incarnation int64) {
 	o.emit(event.WorkerRestarted, event.Subject{Worker: string(w.info.ID)}, event.Fields{"born": incarnation, "before": w.incarnation, "runs": w.members.len()})
 	o.workerCrashed(w, crashRestarted)
-	w.upkeepOrdered, w.crashed, w.left = false, false, false
+	w.upkeepOrdered, w.crashed = false, false
 	w.incarnation = incarnation
 	w.claimed = false
 	w.acknowledged, w.processed, w.pendingAcks = 0, 0, nil
--- a/internal/poolhost/term.go
+++ b/internal/poolhost/term.go
@@ -33,8 +33,6 @@
 	// cancellations. They are used only while the loop is locked.
 	pendingCancels map[model.JobID]bool
 	inputRevision  store.Revision
-	// workerEntries is used by handleWorkers only.
-	workerEntries entryTimes
 
 	mu sync.Mutex
 	// loaded is true once all jobs are loaded; the owner does not act before.
@@ -45,7 +43,7 @@
 
 func (h *Host) beginTerm(fence store.Revision) {
 	ctx, cancel := context.WithCancel(h.ctx)
-	t := &term{host: h, fence: fence, startedAt: h.Clock.Now(), ctx: ctx, cancel: cancel, pendingCancels: map[model.JobID]bool{}, workerEntries: newEntryTimes()}
+	t := &term{host: h, fence: fence, startedAt: h.Clock.Now(), ctx: ctx, cancel: cancel, pendingCancels: map[model.JobID]bool{}}
 	owner := pool.NewOwner(uint64(fence), h.Timing, h.Events, h.Clock.Now())
 	h.Events.RecordFields(event.OwnershipTaken, event.Subject{Host: h.Name}, event.Fields{"fence": fence})
 	t.loop = pool.NewLoop(owner, pool.Ports{
@@ -195,7 +193,6 @@
 }
 
 func (t *term) handleWorkers(state mirror.State) {
-	t.workerEntries.update(state)
 	var workers []pool.WorkerInfo
 	for _, kv := range state.Keys {
 		info, err := t.decodeWorker(kv)
@@ -203,7 +200,6 @@
 			t.host.Events.RecordFields(event.EntryMalformed, event.Subject{}, event.Fields{"key": kv.Key, "revision": kv.ModRevision, "why": err.Error()})
 			continue
 		}
-		info.WrittenAfter = t.workerEntries.writtenAfter[kv.Key]
 		workers = append(workers, info)
 	}
 	t.loop.Update(func(o *pool.Owner, now time.Time) { o.SetWorkers(workers, now) })
