--- a/internal/pool/advance.go
+++ b/internal/pool/advance.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/chervilrun/chervilrun/internal/event"
+	"github.com/chervilrun/chervilrun/internal/model"
+	"github.com/chervilrun/chervilrun/internal/pool/evidence"
 	"github.com/chervilrun/chervilrun/internal/workflow"
 )
 
@@ -45,7 +47,7 @@
 	o.now = now
 	o.nextDue = now.Add(idleInterval)
 	o.advanceJobs()
-	o.expireLeases()
+	o.endProvenRuns()
 	o.expireUnverified()
 	if gate.MayStart {
 		o.advanceUpkeep()
@@ -77,29 +79,56 @@
 	}
 }
 
-// expireLeases gives up the runs on workers whose lease has certainly expired.
-func (o *Owner) expireLeases() {
+// endProvenRuns ends the runs on workers on which everything has certainly ended, and forgets
+// workers that are gone.
+func (o *Owner) endProvenRuns() {
 	for _, w := range o.workers.all() {
-		if w.members.len() == 0 {
-			if o.mayForget(w) {
-				o.removeWorker(w)
-			}
-			continue
+		if w.members.len() > 0 {
+			o.endRunsOf(w)
+		} else if o.mayForget(w) {
+			o.removeWorker(w)
 		}
-		if w.leaseUntil.IsZero() || !o.now.After(w.leaseUntil) {
-			if !w.failingSince.IsZero() {
-				o.wakeAt(w.leaseUntil.Add(time.Millisecond))
-			}
-			continue
+	}
+}
+
+// endRunsOf ends the runs on a worker if it is proven that all of them have ended.
+func (o *Owner) endRunsOf(w *worker) {
+	proof := w.AllEnded(o.now)
+	switch proof {
+	case evidence.None:
+		if until, known := w.LeaseUntil(); known && !w.SilentSince.IsZero() {
+			o.wakeAt(until.Add(time.Millisecond))
 		}
+		return
+	case evidence.LeaseExpired:
 		o.emit(event.WorkerLost, event.Subject{Worker: string(w.info.ID)}, event.Fields{
-			"runs": w.members.len(), "silent_ms": o.now.Sub(w.lastResponseAt).Milliseconds(), "listed": w.listed,
+			"runs": w.members.len(), "silent_ms": o.now.Sub(w.AnsweredAt).Milliseconds(), "listed": w.Listed,
 		})
 		w.claimed = false
 		for _, m := range w.members.all() {
 			w.lostRuns = append(w.lostRuns, o.lostRunOf(w, m))
-			o.memberEnded(m, EndLeaseExpired, "", "lease_lapsed")
 		}
+	default:
+		if proof == evidence.Replaced {
+			o.workerCrashed(w, crashReplaced)
+		}
+		w.orphans.clear()
+		defer o.endRecordedRuns(w.info.ID)
+	}
+	for _, m := range w.members.all() {
+		o.memberEnded(m, EndLeaseExpired, "", proof)
+	}
+}
+
+// endRecordedRuns ends the runs of earlier owners on a worker that has not listed them.
+func (o *Owner) endRecordedRuns(id model.WorkerID) {
+	for _, g := range o.stillRecovering() {
+		for _, m := range g.members {
+			if m.phase == memberUnverified && m.workerID == id {
+				o.markGone(m)
+			}
+		}
+		o.resolveRecovery(g)
 	}
 }
 
@@ -149,10 +178,10 @@
 
 func (o *Owner) sendOrder(w *worker, m *member) {
 	switch {
-	case m.stopping && m.startDue && m.startTries == 0:
+	case m.stopping && m.startDue && m.evidence().Unsent() != evidence.None:
 		// No start order has been sent, so there is nothing to stop.
 		m.startDue = false
-		o.memberEnded(m, EndStopped, "", "not_sent")
+		o.memberEnded(m, EndStopped, "", evidence.NotSent)
 		o.requeueIfGone(m.group)
 	case m.stopping:
 		m.startDue = false
@@ -229,7 +258,7 @@
 func (o *Owner) sendRenewal(w *worker) {
 	order := RenewalOrder{Fence: o.fence, Acknowledged: w.acknowledged}
 	// The lease of a worker that does not respond is not extended, so that it expires.
-	if w.clockMS > 0 && w.members.len() > 0 && w.failingSince.IsZero() {
+	if w.clockMS > 0 && w.members.len() > 0 && w.SilentSince.IsZero() {
 		order.ExpiresMS = w.clockNow(o.now) + o.timing.WorkerLease.Milliseconds()
 		w.extendLease(order.ExpiresMS)
 		if len(w.pendingAcks) == 0 {
--- a/internal/pool/advice.go
+++ b/internal/pool/advice.go
@@ -71,7 +71,7 @@
 // least margin, so that a start order can still reach the worker.
 func (s *step) ticketFor(w *worker, now time.Time, margin time.Duration) string {
 	t, ok := s.ensureAdvice().tickets[w.info.ID]
-	if !ok || t.incarnation != w.incarnation || now.Add(margin).After(t.validUntil) {
+	if !ok || t.incarnation != w.Incarnation || now.Add(margin).After(t.validUntil) {
 		return ""
 	}
 	return t.text
@@ -177,7 +177,7 @@
 			a.denied[id] = true
 		case known:
 			// The validity starts with the response; counting from the request is safe.
-			a.tickets[id] = ticket{text: ticketText, incarnation: w.incarnation, validUntil: call.Sent.Add(advice.ValidFor)}
+			a.tickets[id] = ticket{text: ticketText, incarnation: w.Incarnation, validUntil: call.Sent.Add(advice.ValidFor)}
 		}
 	}
 	o.emit(event.AdviceTaken, event.Subject{}, event.Fields{"step": call.Advise.Step, "workers": len(call.Advise.Workers), "good": len(advice.Tickets), "took_ms": now.Sub(call.Sent).Milliseconds()})
--- a/internal/pool/claims.go
+++ b/internal/pool/claims.go
@@ -90,7 +90,7 @@
 func (o *Owner) wantWorkers(service model.ServiceID, need *claimNeed) {
 	accelerators, idleWorkers := int(claimFactor*float64(need.accelerators)), need.idleWorkers
 	for _, w := range o.workersByRack() {
-		if w.info.Service != service || !w.listed || w.info.Draining || o.policy.ZonesOutOfService[w.info.Zone] {
+		if w.info.Service != service || !w.Listed || w.Draining || o.policy.ZonesOutOfService[w.info.Zone] {
 			continue
 		}
 		if w.claimWanted {
--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -66,7 +66,7 @@
 
 // endsByOrder reports whether the worker ends because it was told to: by its operators or by
 // an upkeep.
-func (w *worker) endsByOrder() bool { return w.info.Draining || w.upkeepOrdered }
+func (w *worker) endsByOrder() bool { return w.Draining || w.upkeepOrdered }
 
 // workerCrashed handles the crash of a worker: it concerns the runs that are or may be on it
 // and those that were given up when its lease expired.
@@ -99,7 +99,7 @@
 	}
 	markAlone(runs)
 	if evidence == crashUnlisted {
-		o.unlistedWorkers[w.info.ID] = unlistedWorker{incarnation: w.incarnation, runs: runs, at: o.now}
+		o.unlistedWorkers[w.info.ID] = unlistedWorker{incarnation: w.Incarnation, runs: runs, at: o.now}
 	}
 	o.reportCrash(w.info.ID, evidence, runs)
 }
@@ -121,8 +121,8 @@
 // lostRunOf describes the run of a member that is lost with its worker.
 func (o *Owner) lostRunOf(w *worker, m *member) lostRun {
 	lastAlive := o.now
-	if !w.failingSince.IsZero() {
-		lastAlive = w.failingSince
+	if !w.SilentSince.IsZero() {
+		lastAlive = w.SilentSince
 	}
 	since := m.confirmedAt
 	switch {
@@ -309,7 +309,7 @@
 // incarnationOf returns the incarnation of a worker as far as it is known; 0 if it is not.
 func (o *Owner) incarnationOf(id model.WorkerID) int64 {
 	if w, ok := o.workers.get(id); ok {
-		return w.incarnation
+		return w.Incarnation
 	}
 	return 0
 }
@@ -319,7 +319,7 @@
 // crashed until it comes back.
 func (o *Owner) unverifiedUnreachable(m *member) {
 	lost := o.lostUnverified(m)
-	if w, ok := o.workers.get(m.workerID); ok && w.listed {
+	if w, ok := o.workers.get(m.workerID); ok && w.Listed {
 		w.lostRuns = append(w.lostRuns, lost)
 	} else if !o.isUpkeepOrdered(m.workerID) {
 		u := o.unlistedWorkers[m.workerID]
--- a/internal/pool/drain.go
+++ b/internal/pool/drain.go
@@ -18,7 +18,7 @@
 		return m.Worker == "" || behind
 	}
 	w.cordoned = true
-	if !w.failingSince.IsZero() && w.members.len() > 0 {
+	if !w.SilentSince.IsZero() && w.members.len() > 0 {
 		// The worker may have crashed. Its next answer or the end of its lease shows it; after
 		// an order nobody could tell.
 		return false
--- a/internal/pool/progress.go
+++ b/internal/pool/progress.go
@@ -116,10 +116,10 @@
 // moveOffDraining stops task groups that can't finish before their worker leaves, so that they
 // restart on other workers. Tasks with checkpoints keep their progress.
 func (o *Owner) moveOffDraining(w *worker) {
-	if !w.info.Draining || w.leavesAt.IsZero() {
+	if !w.Draining || w.LeavesAt.IsZero() {
 		return
 	}
-	stay := w.leavesAt.Sub(o.now)
+	stay := w.LeavesAt.Sub(o.now)
 	for _, m := range w.members.all() {
 		g := m.group
 		if m.stopping || g.state() != taskGroupRunning || g.step.spec.LongRunning {
--- a/internal/pool/quarantine.go
+++ b/internal/pool/quarantine.go
@@ -49,7 +49,7 @@
 	}
 	for _, w := range o.workers.all() {
 		for _, class := range w.classes() {
-			if w.listed && quarantined[class] > 0 {
+			if w.Listed && quarantined[class] > 0 {
 				total[class]++
 			}
 		}
--- a/internal/pool/reconcile.go
+++ b/internal/pool/reconcile.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/chervilrun/chervilrun/internal/event"
+	"github.com/chervilrun/chervilrun/internal/pool/evidence"
 	"github.com/chervilrun/chervilrun/internal/workflow"
 )
 
@@ -20,35 +21,22 @@
 			o.planNeeded = true
 		}
 	}
-	if len(inventory.Ended) >= maxEndsPerResponse {
-		// There may be more ends, so that a run that is not listed may have ended.
-		return
-	}
+	response := evidence.Inventory{RequestedAt: sentAt, ClockMS: inventory.ClockMS, Full: len(inventory.Ended) >= maxEndsPerResponse}
 	for key, m := range w.members.all() {
+		if listed[key] {
+			continue
+		}
+		proof := m.evidence().Missing(response)
 		switch {
-		case listed[key]:
-		case provesAbsence(m, sentAt, inventory.ClockMS):
-			o.memberEnded(m, EndLeaseExpired, "", "not_listed")
+		case proof != evidence.None:
+			o.memberEnded(m, EndLeaseExpired, "", proof)
 			o.requeueIfGone(m.group)
+		case response.Full:
 		case m.expiresMS == neverExpires && !m.startInFlight && !m.startDue && !m.stopping:
 			o.stopTaskGroup(m.group, "start_in_doubt")
 		}
 	}
-	o.dropUnverified(w)
-}
-
-// provesAbsence reports whether the absence of a run from a response proves that it does not
-// exist and never will.
-func provesAbsence(m *member, sentAt time.Time, clockMS int64) bool {
-	switch {
-	case m.phase == memberRunning:
-		return m.confirmedAt.Before(sentAt)
-	case m.startInFlight || m.startDue:
-		return false
-	case !m.stopConfirmedAt.IsZero() && m.stopConfirmedAt.Before(sentAt):
-		return true
-	}
-	return m.startSentAt.Before(sentAt) && clockMS > m.expiresMS
+	o.dropUnverified(w, response)
 }
 
 // reconcileRun handles one run that a worker lists.
@@ -63,8 +51,8 @@
 		m.phase, m.confirmedAt = memberRunning, o.now
 		o.markStarted(m.group.job)
 		w.admit(m)
-		if w.leaseUntil.IsZero() {
-			w.leaseUntil = o.now.Add(o.timing.TakeoverWait)
+		if _, known := w.LeaseUntil(); !known {
+			w.MayHaveLeaseUntil(o.now.Add(o.timing.TakeoverWait))
 		}
 	case memberStarting:
 		o.confirmStarted(w, m)
@@ -97,15 +85,15 @@
 
 // dropUnverified gives up the recorded runs that a worker did not list in its response. If it
 // has restarted since they were recorded, it has crashed under them.
-func (o *Owner) dropUnverified(w *worker) {
+func (o *Owner) dropUnverified(w *worker, response evidence.Inventory) {
 	var lost []lostRun
 	recovering := o.stillRecovering()
 	for _, g := range recovering {
 		for _, m := range g.members {
-			if m.phase != memberUnverified || m.workerID != w.info.ID {
+			if m.phase != memberUnverified || m.workerID != w.info.ID || m.evidence().Missing(response) == evidence.None {
 				continue
 			}
-			if m.incarnation != 0 && w.incarnation > m.incarnation && !w.endsByOrder() {
+			if m.incarnation != 0 && w.Incarnation > m.incarnation && !w.endsByOrder() {
 				lost = append(lost, o.lostUnverified(m))
 			}
 			o.markGone(m)
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -133,14 +133,14 @@
 func (o *Owner) reportWorkers() WorkersReport {
 	var r WorkersReport
 	for id, w := range o.workers.all() {
-		if !w.listed {
+		if !w.Listed {
 			continue
 		}
 		r.Listed++
-		if !w.failingSince.IsZero() {
+		if !w.SilentSince.IsZero() {
 			r.Silent++
 		}
-		if w.info.Draining {
+		if w.Draining {
 			r.Draining++
 		}
 		if o.now.Before(w.slowUntil) {
--- a/internal/pool/responses.go
+++ b/internal/pool/responses.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chervilrun/chervilrun/internal/event"
+	"github.com/chervilrun/chervilrun/internal/pool/evidence"
 	"github.com/chervilrun/chervilrun/internal/workflow"
 )
 
@@ -61,7 +62,7 @@
 // startUnanswered schedules a retry, or stops the run after the last one. The run is gone
 // once the worker does not list it after the order has expired.
 func (o *Owner) startUnanswered(w *worker, m *member) {
-	if !m.stopping && m.startTries < o.timing.StartTries && w.listed {
+	if !m.stopping && m.startTries < o.timing.StartTries && w.Listed {
 		m.startDue = true
 		o.markOrdersDue(m)
 		return
@@ -87,7 +88,7 @@
 		w.backOff(o.now)
 	}
 	o.dropTicket(m, err)
-	if m.startTries == 1 {
+	if m.evidence().Refused() != evidence.None {
 		w.release(m)
 		o.markGone(m)
 	}
@@ -135,7 +136,7 @@
 		o.renewalFailed(w, err)
 		return
 	}
-	if inventory.Incarnation != 0 && inventory.Incarnation < w.incarnation {
+	if inventory.Incarnation != 0 && inventory.Incarnation < w.Incarnation {
 		// The response of an earlier incarnation arrived after news of a later one.
 		w.nextRenewal = now
 		return
@@ -155,20 +156,21 @@
 
 // updateFromResponse updates the state of the worker itself from its response.
 func (o *Owner) updateFromResponse(w *worker, inventory Inventory) {
-	if w.incarnation != 0 && inventory.Incarnation > w.incarnation {
+	if w.Incarnation != 0 && inventory.Incarnation > w.Incarnation {
 		o.handleRestart(w, inventory.Incarnation)
 	}
-	w.incarnation = max(w.incarnation, inventory.Incarnation)
+	w.Incarnation = max(w.Incarnation, inventory.Incarnation)
 	subject := event.Subject{Worker: string(w.info.ID)}
 	if !w.claimed {
 		o.planNeeded = true
-		o.emit(event.WorkerClaimed, subject, event.Fields{"running": len(inventory.Running), "ended": len(inventory.Ended), "born": w.incarnation})
+		o.emit(event.WorkerClaimed, subject, event.Fields{"running": len(inventory.Running), "ended": len(inventory.Ended), "born": w.Incarnation})
 	}
-	if !w.failingSince.IsZero() {
+	if !w.SilentSince.IsZero() {
 		o.planNeeded = true
-		o.emit(event.WorkerAnswers, subject, event.Fields{"silent_ms": o.now.Sub(w.failingSince).Milliseconds()})
+		o.emit(event.WorkerAnswers, subject, event.Fields{"silent_ms": o.now.Sub(w.SilentSince).Milliseconds()})
 	}
-	w.claimed, w.failingSince, w.lastResponseAt = true, time.Time{}, o.now
+	w.claimed = true
+	w.Answered(o.now)
 	// A worker that answers as the same incarnation was only silent.
 	w.lostRuns = nil
 	w.readClock(inventory.ClockMS, o.now)
@@ -195,14 +197,13 @@
 		o.loseOwnership("worker", string(w.info.ID))
 		return
 	}
-	if w.failingSince.IsZero() {
-		w.failingSince = o.now
+	if w.CallFailed(o.now) {
 		o.planNeeded = true
 		o.emit(event.WorkerSilent, event.Subject{Worker: string(w.info.ID)}, event.Fields{"why": err.Error(), "runs": w.members.len()})
 	}
 	if errors.Is(err, ErrIncarnation) {
-		o.workerCrashed(w, crashReplaced)
-		o.dropRuns(w.info.ID, "other_incarnation")
+		w.OtherIncarnationAnswered()
+		o.endRunsOf(w)
 	}
 	w.nextRenewal = o.now.Add(o.timing.RenewalRetryDelay)
 }
@@ -214,7 +215,7 @@
 	if g, m := o.findRun(w, end.RunKey); g != nil {
 		o.markStarted(g.job)
 		if m != nil {
-			o.memberEnded(m, end.Cause, end.Checkpoint, "listed")
+			o.memberEnded(m, end.Cause, end.Checkpoint, evidence.Listed)
 			o.requeueIfGone(g)
 		} else if end.Cause == EndDone && end.Run == g.run && g.state() == taskGroupWaiting {
 			o.finishTaskGroup(g)
--- a/internal/pool/runs.go
+++ b/internal/pool/runs.go
@@ -6,6 +6,7 @@
 
 	"github.com/chervilrun/chervilrun/internal/event"
 	"github.com/chervilrun/chervilrun/internal/model"
+	"github.com/chervilrun/chervilrun/internal/pool/evidence"
 	plan "github.com/chervilrun/chervilrun/internal/scheduler/pool"
 	"github.com/chervilrun/chervilrun/internal/workflow"
 )
@@ -79,7 +80,7 @@
 func (o *Owner) workersUsable(g *taskGroup) bool {
 	for _, m := range g.members {
 		w, ok := o.workers.get(m.workerID)
-		if !ok || !w.usable(&o.policy) || w.incarnation != m.incarnation {
+		if !ok || !w.usable(&o.policy) || w.Incarnation != m.incarnation {
 			return false
 		}
 	}
@@ -157,9 +158,9 @@
 	o.requeueIfGone(g)
 }
 
-// memberEnded handles the end of a member. The members of a gang are done together, so the
+// memberEnded handles the proven end of a member. The members of a gang are done together, so the
 // first one that is done finishes the task group; any other end stops the whole run.
-func (o *Owner) memberEnded(m *member, cause EndCause, checkpoint, reason string) {
+func (o *Owner) memberEnded(m *member, cause EndCause, checkpoint string, proof evidence.Proof) {
 	if m.phase == memberGone {
 		return
 	}
@@ -177,8 +178,8 @@
 	if checkpoint != "" {
 		g.checkpoint = checkpoint
 	}
-	fields := event.Fields{"task": string(m.key().Task), "run": m.run, "cause": string(cause), "why": reason, "saved": checkpoint != ""}
-	if known && reason != "listed" {
+	fields := event.Fields{"task": string(m.key().Task), "run": m.run, "cause": string(cause), "why": string(proof), "saved": checkpoint != ""}
+	if known && proof != evidence.Listed {
 		o.addWorkerState(fields, w)
 	}
 	o.emit(event.TaskEnded, event.Subject{Job: string(g.job.id()), Worker: string(m.workerID)}, fields)
@@ -199,12 +200,12 @@
 // addWorkerState adds what is known of a worker when the end of a run is concluded and not listed.
 // A run may live as long as its lease, so that lease_left_ms tells how much rests on the conclusion.
 func (o *Owner) addWorkerState(fields event.Fields, w *worker) {
-	fields["listed"], fields["draining"] = w.listed, w.info.Draining
-	if !w.leaseUntil.IsZero() {
-		fields["lease_left_ms"] = w.leaseUntil.Sub(o.now).Milliseconds()
+	fields["listed"], fields["draining"] = w.Listed, w.Draining
+	if until, ok := w.LeaseUntil(); ok {
+		fields["lease_left_ms"] = until.Sub(o.now).Milliseconds()
 	}
-	if !w.lastResponseAt.IsZero() {
-		fields["silent_ms"] = o.now.Sub(w.lastResponseAt).Milliseconds()
+	if !w.AnsweredAt.IsZero() {
+		fields["silent_ms"] = o.now.Sub(w.AnsweredAt).Milliseconds()
 	}
 }
 
--- a/internal/pool/taskgroup.go
+++ b/internal/pool/taskgroup.go
@@ -6,6 +6,7 @@
 
 	"github.com/chervilrun/chervilrun/internal/chart"
 	"github.com/chervilrun/chervilrun/internal/model"
+	"github.com/chervilrun/chervilrun/internal/pool/evidence"
 	plan "github.com/chervilrun/chervilrun/internal/scheduler/pool"
 	"github.com/chervilrun/chervilrun/internal/workflow"
 )
@@ -205,6 +206,19 @@
 	cause EndCause
 }
 
+// evidence is what is known of the run. After a restart of its worker, a confirmation before it
+// no longer counts: see handleRestart.
+func (m *member) evidence() evidence.Run {
+	run := evidence.Run{
+		Recorded: m.phase == memberUnverified, StartsSent: m.startTries, StartPending: m.startInFlight || m.startDue,
+		StartSentAt: m.startSentAt, StartExpiresMS: m.expiresMS, StopConfirmedAt: m.stopConfirmedAt,
+	}
+	if m.phase == memberRunning {
+		run.ConfirmedAt = m.confirmedAt
+	}
+	return run
+}
+
 func (m *member) key() RunKey { return RunKey{Task: m.group.task(m.index).ID(), Run: m.run} }
 
 // exists reports whether the run exists or may come to exist.
--- a/internal/pool/upkeep.go
+++ b/internal/pool/upkeep.go
@@ -243,13 +243,19 @@
 	}
 	m.previousEnded = true
 	runs := 0
-	if w, ok := o.workers.get(m.previousWorker); ok {
+	w, known := o.workers.get(m.previousWorker)
+	if known {
 		runs = w.members.len()
 	}
 	o.emit(event.UpkeepBegun, event.Subject{Worker: string(m.previousWorker)}, event.Fields{
 		"wave": m.id.wave, "machine": string(m.id.machine), "emptied": listed.Emptied, "worker_now": string(listed.Worker), "runs": runs,
 	})
-	o.dropRuns(m.previousWorker, "upkeep")
+	if !known {
+		o.endRecordedRuns(m.previousWorker)
+		return
+	}
+	w.MachineTakenDown()
+	o.endRunsOf(w)
 }
 
 // behindSchedule reports whether there is no time left to wait for running tasks before
--- a/internal/pool/worker.go
+++ b/internal/pool/worker.go
@@ -4,26 +4,24 @@
 	"time"
 
 	"github.com/chervilrun/chervilrun/internal/model"
+	"github.com/chervilrun/chervilrun/internal/pool/evidence"
 	plan "github.com/chervilrun/chervilrun/internal/scheduler/pool"
 )
 
 // worker is the owner's state of a worker.
 type worker struct {
+	// Worker is what is known of the worker, and decides which of its runs have ended.
+	evidence.Worker
 	info WorkerInfo
-	// listed is true while the worker is in the list of workers.
-	listed bool
 	// claimed is true once the worker has responded to a lease renewal of this owner.
 	claimed bool
 	// claimWanted is true once the worker is to be claimed, claimInFlight while a claim is
 	// in flight.
 	claimWanted   bool
 	claimInFlight bool
-	incarnation   int64
 	// clockMS is the reading of the worker's clock received at clockReadAt.
 	clockMS     int64
 	clockReadAt time.Time
-	// leaseUntil is when every lease granted by this owner has certainly expired.
-	leaseUntil time.Time
 
 	// members are the runs that exist or may exist on the worker.
 	members orderedMap[RunKey, *member]
@@ -49,15 +47,10 @@
 	// ordersInFlight counts the start and stop orders in flight.
 	ordersInFlight int
 	nextRenewal    time.Time
-	lastResponseAt time.Time
-	// failingSince is when a lease renewal first failed; zero while the worker responds.
-	failingSince time.Time
 	// refusals counts the starts in a row that the worker has refused; it gets no further ones
 	// before startsAfter.
 	refusals    int
 	startsAfter time.Time
-	// leavesAt is when a draining worker leaves.
-	leavesAt time.Time
 	// cordoned workers get no new tasks, since their machine is about to go into upkeep.
 	cordoned bool
 	// upkeepOrdered is true once the upkeep of the worker's machine was ordered, which ends
@@ -108,9 +101,8 @@
 
 func newWorker(info WorkerInfo, now time.Time) *worker {
 	return &worker{
+		Worker:      evidence.Worker{Incarnation: info.Incarnation, Listed: true, Draining: info.Draining},
 		info:        info,
-		listed:      true,
-		incarnation: info.Incarnation,
 		members:     newOrderedMap[RunKey, *member](),
 		orphans:     newOrderedMap[RunKey, *orphan](),
 		nextRenewal: now,
@@ -138,12 +130,8 @@
 	return w.clockReadAt.Add(time.Duration(float64(remaining) / (1 - maxClockDrift)))
 }
 
-// extendLease extends leaseUntil for a lease that an order requests.
-func (w *worker) extendLease(expiresMS int64) {
-	if expiry := w.expiresAt(expiresMS); expiry.After(w.leaseUntil) {
-		w.leaseUntil = expiry
-	}
-}
+// extendLease takes in the lease that an order requests.
+func (w *worker) extendLease(expiresMS int64) { w.MayHaveLeaseUntil(w.expiresAt(expiresMS)) }
 
 // free is the resources not in use; runs that are being stopped still use theirs.
 func (w *worker) free() model.Resources {
@@ -156,7 +144,7 @@
 
 // usable reports whether the worker may get new tasks.
 func (w *worker) usable(policy *Policy) bool {
-	if !w.listed || !w.claimed || w.info.Draining || policy.ZonesOutOfService[w.info.Zone] || w.cordoned || !w.failingSince.IsZero() {
+	if !w.Listed || !w.claimed || w.Draining || policy.ZonesOutOfService[w.info.Zone] || w.cordoned || !w.SilentSince.IsZero() {
 		return false
 	}
 	for _, orphan := range w.orphans.all() {
--- a/internal/pool/workerlist.go
+++ b/internal/pool/workerlist.go
@@ -34,19 +34,19 @@
 		return
 	}
 	// The list may be older than what the worker itself has reported.
-	if w.incarnation != 0 && info.Incarnation > w.incarnation {
+	if w.Incarnation != 0 && info.Incarnation > w.Incarnation {
 		o.handleRestart(w, info.Incarnation)
 	}
-	if info.Draining && !w.info.Draining {
+	if info.Draining && !w.Draining {
 		o.emit(event.WorkerDraining, event.Subject{Worker: string(info.ID)}, event.Fields{"leaves_ms": info.TimeUntilRemoval.Milliseconds(), "runs": w.members.len()})
 	}
-	w.info, w.listed = info, true
-	if info.Draining && w.leavesAt.IsZero() {
-		w.leavesAt = o.now.Add(info.TimeUntilRemoval)
+	w.info, w.Listed, w.Draining = info, true, info.Draining
+	if info.Draining && w.LeavesAt.IsZero() {
+		w.LeavesAt = o.now.Add(info.TimeUntilRemoval)
 		o.moveOffDraining(w)
 	}
 	if !info.Draining {
-		w.leavesAt = time.Time{}
+		w.LeavesAt = time.Time{}
 	}
 }
 
@@ -54,12 +54,12 @@
 // entries also expire while the worker or the store is cut off, and other writers may make them
 // unreadable.
 func (o *Owner) handleUnlisted(w *worker) {
-	if w.listed {
-		o.emit(event.WorkerUnlisted, event.Subject{Worker: string(w.info.ID)}, event.Fields{"runs": w.members.len(), "draining": w.info.Draining})
+	if w.Listed {
+		o.emit(event.WorkerUnlisted, event.Subject{Worker: string(w.info.ID)}, event.Fields{"runs": w.members.len(), "draining": w.Draining})
 		// The worker's answer shows what it still runs.
 		w.nextRenewal, w.claimWanted = o.now, true
 	}
-	w.listed = false
+	w.Listed = false
 	if o.mayForget(w) {
 		o.removeWorker(w)
 	}
@@ -67,21 +67,20 @@
 
 // mayForget reports whether nothing is or may be on a worker that is not listed.
 func (o *Owner) mayForget(w *worker) bool {
-	return !w.listed && w.members.len() == 0 && !w.renewalInFlight && !o.hasUnverifiedRuns(w.info.ID)
+	return !w.Listed && w.members.len() == 0 && !w.renewalInFlight && !o.hasUnverifiedRuns(w.info.ID)
 }
 
 // handleRestart handles a worker that has restarted and lost its state. Orders that were in
 // flight may have reached the new incarnation, so no run is given up until the worker has
 // listed what it runs.
 func (o *Owner) handleRestart(w *worker, incarnation int64) {
-	o.emit(event.WorkerRestarted, event.Subject{Worker: string(w.info.ID)}, event.Fields{"born": incarnation, "before": w.incarnation, "runs": w.members.len()})
+	o.emit(event.WorkerRestarted, event.Subject{Worker: string(w.info.ID)}, event.Fields{"born": incarnation, "before": w.Incarnation, "runs": w.members.len()})
 	o.workerCrashed(w, crashRestarted)
 	w.upkeepOrdered, w.crashed = false, false
-	w.incarnation = incarnation
+	w.Restarted(incarnation, o.now.Add(o.timing.TakeoverWait))
 	w.claimed = false
 	w.acknowledged, w.processed, w.pendingAcks = 0, 0, nil
 	w.clockMS, w.clockReadAt = 0, time.Time{}
-	w.leaseUntil = o.now.Add(o.timing.TakeoverWait)
 	w.nextRenewal = o.now
 	w.orphans.clear()
 	w.ordersDue = true
@@ -99,21 +98,3 @@
 		m.expiresMS = neverExpires
 	}
 }
-
-// dropRuns gives up all runs on a worker on which nothing runs any more.
-func (o *Owner) dropRuns(id model.WorkerID, reason string) {
-	if w, ok := o.workers.get(id); ok {
-		w.orphans.clear()
-		for _, m := range w.members.all() {
-			o.memberEnded(m, EndLeaseExpired, "", reason)
-		}
-	}
-	for _, g := range o.stillRecovering() {
-		for _, m := range g.members {
-			if m.phase == memberUnverified && m.workerID == id {
-				o.markGone(m)
-			}
-		}
-		o.resolveRecovery(g)
-	}
-}
