--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -41,6 +41,8 @@
 	WorkerEntryLifetime time.Duration
 	// MachineOrderGap is the minimum time between orders of two owners for one machine.
 	MachineOrderGap time.Duration
+	// OrderPermission is how long after a takeover the earlier owner may still send orders.
+	OrderPermission time.Duration
 	// StopRetryInterval is the time between two unconfirmed stop orders for the same run.
 	StopRetryInterval time.Duration
 	// Retention is how long the record of an ended job is kept.
@@ -78,6 +80,7 @@
 		StoreRetryDelay:     200 * time.Millisecond,
 		TakeoverWait:        LeaseRenewalGrace + time.Duration(float64(workerLease)/(1-maxClockDrift)) + 500*time.Millisecond,
 		MachineOrderGap:     3 * time.Second,
+		OrderPermission:     3 * time.Second,
 		StopRetryInterval:   300 * time.Millisecond,
 		Retention:           retention,
 		QuarantineBase:      5 * time.Second,
