An owner that refuses connections is replaced only after its lease has ended

Callers: while a cut between hosts refused connections, two hosts held themselves for the owner. Cause: a broken connection and a refused one counted as the end of the owner's process, and the owner key was replaced. The lease of the earlier key stayed valid, so an owner that lived on went on renewing it and kept its permission until its watch told it; a silent watch is noticed after 2.8 s. "Owners are fenced" holds neither for machines where fences aren't checked nor for workers that the new owner can't reach.

Now a refusal is only a suspicion. It still lets another host take over at once, but that host ends the earlier lease first and writes the owner key only once that is certain. So an owner that lives on has its next renewal refused, and its permission ends 1.5 s after its last one even if it hears nothing. The new term adds what may have been left of the lease to the wait for runs on workers that it can't reach (TakeoverWait), and its machine orders wait for the earlier permission (OrderPermission). An earlier incarnation at the host's own address has certainly ended: nothing is added there.

A takeover after a kill costs one more call to the store. Waiting for the lease instead would cost up to 1.8 s each time. Runs on workers that can't be reached wait until the same moment as if the lease had expired.

Event 1218 is recorded as before; its name and text no longer say that the owner has died.

--- a/internal/ctl/command/logs.go
+++ b/internal/ctl/command/logs.go
@@ -117,7 +117,7 @@
 // changes of the owner, of the confirmation of the configuration, of the store and of hosts.
 var contextEvents = map[event.Number]bool{
 	event.ProcessStarted: true, event.ProcessDraining: true, event.OwnershipTaken: true, event.OwnershipLost: true,
-	event.OwnershipHandedOver: true, event.OwnerDied: true, event.StoreUnavailable: true, event.StoreRecovered: true,
+	event.OwnershipHandedOver: true, event.OwnerSuspected: true, event.StoreUnavailable: true, event.StoreRecovered: true,
 	event.ViewStale: true, event.ViewConfirmed: true,
 }
 
--- a/internal/poolhost/elector.go
+++ b/internal/poolhost/elector.go
@@ -65,9 +65,9 @@
 	clock  clockwork.Clock
 	self   ownerValue
 	events *event.Recorder
-	// onElected is called with the fencing token when this host becomes the owner, onLost
-	// when it no longer is.
-	onElected func(fence store.Revision)
+	// onElected is called when this host becomes the owner, with the fencing token and with how
+	// much of the earlier owner's lease may have been left; onLost when it no longer is.
+	onElected func(fence store.Revision, leaseLeft time.Duration)
 	onLost    func(why string)
 
 	mu sync.Mutex
@@ -78,8 +78,10 @@
 	lease store.LeaseID
 	// electionDue is signalled when the owner key is absent or its holder is gone.
 	electionDue chan struct{}
-	// deadIncarnation is the incarnation of an owner whose process is known to have ended.
-	deadIncarnation string
+	// suspect is the incarnation of an owner that has refused connections.
+	suspect string
+	// leaseCutShortAt is when this host last ended the lease of an owner that may live on.
+	leaseCutShortAt time.Time
 	// ownershipEnded is signalled when this host's ownership was handed over or has been lost.
 	ownershipEnded chan struct{}
 	withdrawn      bool
@@ -100,41 +102,56 @@
 	if e.withdrawn {
 		return
 	}
-	if kv == nil || e.holderIsGone(kv) {
-		select {
-		case e.electionDue <- struct{}{}:
-		default:
-		}
+	if kv == nil || e.mayReplace(kv) != keepHolder {
+		signal(e.electionDue)
 	}
 	if e.fence != 0 && kv != nil && kv.ModRevision > e.fence {
 		e.signalOwnershipEnded()
 	}
 }
 
-// holderIsGone reports whether the key was written by an earlier incarnation of this host,
-// or by a process that is known to have ended. The caller holds the lock.
-func (e *elector) holderIsGone(kv *store.KeyValue) bool {
+// replacement is whether and why the holder of the owner key may be replaced before its lease
+// has expired.
+type replacement int
+
+const (
+	keepHolder replacement = iota
+	// replaceEnded: the holder's process has ended.
+	replaceEnded
+	// replaceSuspect: the holder may have ended, or may be cut off from this host only.
+	replaceSuspect
+)
+
+// mayReplace returns whether the holder of the key may be replaced. An earlier incarnation at
+// this host's own address has ended, since this one listens there. The caller holds the lock.
+func (e *elector) mayReplace(kv *store.KeyValue) replacement {
 	value, err := decodeOwner(kv.Value)
-	if err != nil {
-		return false
+	switch {
+	case err != nil:
+		return keepHolder
+	case value.Host == e.self.Host && value.Incarnation != e.self.Incarnation:
+		if value.Address == e.self.Address {
+			return replaceEnded
+		}
+		return replaceSuspect
+	case e.suspect != "" && value.Incarnation == e.suspect:
+		return replaceSuspect
 	}
-	predecessor := value.Host == e.self.Host && value.Incarnation != e.self.Incarnation
-	return predecessor || value.Incarnation == e.deadIncarnation
+	return keepHolder
 }
 
-// ownerDied handles the end of an owner's process, so that its lease need not expire first.
-// A wrong report only costs a takeover, since owners are fenced.
-func (e *elector) ownerDied(incarnation string) {
+// suspectOwner handles an owner that refuses connections. Its process has ended, or it is cut off
+// from this host: the two can't be told apart. So this host may end the owner's lease and take
+// over. It reports whether the suspicion is a new one.
+func (e *elector) suspectOwner(incarnation string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.deadIncarnation = incarnation
-	if e.withdrawn {
-		return
-	}
-	select {
-	case e.electionDue <- struct{}{}:
-	default:
+	if e.withdrawn || e.suspect == incarnation {
+		return false
 	}
+	e.suspect = incarnation
+	signal(e.electionDue)
+	return true
 }
 
 // withdraw stops taking part in elections; a current ownership stays until it is handed over.
@@ -224,13 +241,14 @@
 		if value, err := decodeOwner(current.Value); err == nil && value.Incarnation == e.self.Incarnation {
 			return e.adoptKey(current)
 		}
-		e.mu.Lock()
-		gone := e.holderIsGone(current)
-		e.mu.Unlock()
-		if !gone {
+		if !e.beginReplacement(current) {
 			return 0, true
 		}
-		condition = store.Unchanged(store.PoolOwnerKey, current.ModRevision)
+		if current.Lease == 0 {
+			condition = store.Unchanged(store.PoolOwnerKey, current.ModRevision)
+		} else if err := e.store.Revoke(ctx, current.Lease); err != nil && !errors.Is(err, store.ErrLeaseGone) {
+			return 0, false
+		}
 	}
 	sent := e.clock.Now()
 	lease, err := e.store.Grant(ctx, ownerLeaseTTL)
@@ -255,6 +273,28 @@
 	return result.Revision, true
 }
 
+// beginReplacement reports whether the holder of the key may be replaced. The owner key is written
+// only after the holder's lease has ended: while it is valid, a holder that lives on takes itself
+// for the owner until its watch on the key tells it, which may take seconds.
+func (e *elector) beginReplacement(current *store.KeyValue) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	why := e.mayReplace(current)
+	if why == replaceSuspect {
+		e.leaseCutShortAt = e.clock.Now()
+	}
+	return why != keepHolder
+}
+
+// leaseLeft returns how much of the earlier owner's lease may have been left when this host was
+// elected: nothing unless this host has ended it. The caller holds the lock.
+func (e *elector) leaseLeft() time.Duration {
+	if e.leaseCutShortAt.IsZero() {
+		return 0
+	}
+	return max(0, ownerLeaseTTL-pool.Elapsed(e.clock.Now(), e.leaseCutShortAt))
+}
+
 // adoptKey takes over a key that this process wrote without receiving a response.
 func (e *elector) adoptKey(current *store.KeyValue) (store.Revision, bool) {
 	e.mu.Lock()
@@ -290,14 +330,14 @@
 // and calls onLost.
 func (e *elector) holdOwnership(ctx context.Context) {
 	e.mu.Lock()
-	fence := e.fence
+	fence, leaseLeft := e.fence, e.leaseLeft()
 	e.mu.Unlock()
 	// Discard a signal that an earlier ownership has left.
 	select {
 	case <-e.ownershipEnded:
 	default:
 	}
-	e.onElected(fence)
+	e.onElected(fence, leaseLeft)
 	why := e.renewUntilLost(ctx)
 	e.mu.Lock()
 	e.fence = 0
--- a/internal/poolhost/host.go
+++ b/internal/poolhost/host.go
@@ -218,16 +218,16 @@
 func (h *Host) handleOwnerKey(state mirror.State) {
 	kv, ok := state.Keys[store.PoolOwnerKey]
 	if !ok {
-		h.setOwner(ownerValue{})
 		h.elector.ownerKeyChanged(nil)
+		h.setOwner(ownerValue{})
 		return
 	}
 	value, err := decodeOwner(kv.Value)
 	if err != nil {
 		h.Events.RecordFields(event.EntryMalformed, event.Subject{}, event.Fields{"key": kv.Key, "revision": kv.ModRevision, "why": err.Error()})
 	}
-	h.setOwner(value)
 	h.elector.ownerKeyChanged(&kv)
+	h.setOwner(value)
 }
 
 func (h *Host) setOwner(value ownerValue) {
--- a/internal/poolhost/host_test.go
+++ b/internal/poolhost/host_test.go
@@ -46,6 +46,10 @@
 	// silentJobWatch makes the watches on accepted and cancelled jobs deliver nothing.
 	silentJobWatch bool
 	directories    poolhost.Directories
+	machines       pool.MachinePort
+	timing         pool.Timing
+	// wrapStore, if it is set, replaces the store that a host uses for itself.
+	wrapStore func(host string, s store.Store) store.Store
 }
 
 // faultyStore returns errors for successive writes of jobs; the last one is repeated. A nil
@@ -79,6 +83,7 @@
 		ConfigPrefix: configPrefix, DecodeConfig: decodeTestConfig,
 		WorkersPrefix: workersPrefix, DecodeWorker: decodeTestWorker,
 	}
+	d.timing = pool.DefaultTiming(6*time.Second, time.Hour)
 	d.put(configPrefix+"current", "1")
 	d.put(workersPrefix+"w1", "w1")
 	return d
@@ -171,6 +176,7 @@
 // testHost is a host with its server, which can be killed.
 type testHost struct {
 	*poolhost.Host
+	t      *testing.T
 	server *httptest.Server
 	client *memory.Client
 	log    *logBuffer
@@ -199,7 +205,7 @@
 	buffer := &logBuffer{}
 	log.SetOutput(buffer)
 	clock := clockwork.NewRealClock()
-	h := &testHost{client: d.store.Client(), log: buffer}
+	h := &testHost{t: d.t, client: d.store.Client(), log: buffer}
 	var kv store.Store = h.client
 	if d.jobWriteErrors != nil {
 		kv = &faultyStore{Store: h.client, writeErrors: d.jobWriteErrors}
@@ -207,14 +213,17 @@
 	if d.silentJobWatch {
 		kv = &silentStore{Store: h.client}
 	}
+	if d.wrapStore != nil {
+		kv = d.wrapStore(name, h.client)
+	}
 	var handler http.Handler
 	h.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { handler.ServeHTTP(w, r) }))
 	h.Host = poolhost.New(poolhost.Options{
 		Name: name, Incarnation: incarnation, Address: strings.TrimPrefix(h.server.URL, "http://"), Weight: weight,
 		Store: kv, ConfigStore: h.client, WorkersStore: h.client, Workers: d.workers,
-		Directories: d.directories,
-		Clock:       clock, Events: event.NewRecorder(name, clock, log, 64),
-		Timing: pool.DefaultTiming(6*time.Second, time.Hour), KeyRevocationLimit: time.Hour,
+		Machines: d.machines, Directories: d.directories,
+		Clock: clock, Events: event.NewRecorder(name, clock, log, 64),
+		Timing: d.timing, KeyRevocationLimit: time.Hour,
 	})
 	handler = h.Handler()
 	d.t.Cleanup(h.kill)
@@ -228,6 +237,13 @@
 	h.Stop()
 }
 
+// refuse breaks the connections of other hosts to a host and refuses new ones, as a cut between
+// hosts may do. The host itself lives on and reaches the store.
+func (h *testHost) refuse() {
+	require.NoError(h.t, h.server.Listener.Close())
+	h.server.CloseClientConnections()
+}
+
 func decodeTestConfig(keys map[string]store.KeyValue) (*poolhost.Configuration, error) {
 	kv, ok := keys[configPrefix+"current"]
 	if !ok {
--- a/internal/poolhost/liveness.go
+++ b/internal/poolhost/liveness.go
@@ -14,9 +14,9 @@
 // livenessRetryInterval is the time between attempts to connect to the owner.
 const livenessRetryInterval = 500 * time.Millisecond
 
-// watchOwner keeps an idle connection to the owner. When it breaks and a new one is
-// refused, the owner's process has ended, and its lease need not expire first. An owner
-// that merely doesn't respond keeps its lease.
+// watchOwner keeps an idle connection to the owner. When it breaks and a new one is refused, the
+// owner is suspected to have ended, and its lease need not expire first: see
+// elector.suspectOwner. An owner that merely doesn't respond keeps its lease.
 func (h *Host) watchOwner(ctx context.Context) {
 	for ctx.Err() == nil {
 		h.mu.Lock()
@@ -29,9 +29,8 @@
 			}
 			continue
 		}
-		if h.waitForOwnerExit(ctx, owner.Address, ownerChanged) {
-			h.Events.RecordFields(event.OwnerDied, event.Subject{Host: owner.Host}, event.Fields{"incarnation": owner.Incarnation})
-			h.elector.ownerDied(owner.Incarnation)
+		if h.waitForRefusal(ctx, owner.Address, ownerChanged) && h.elector.suspectOwner(owner.Incarnation) {
+			h.Events.RecordFields(event.OwnerSuspected, event.Subject{Host: owner.Host}, event.Fields{"incarnation": owner.Incarnation})
 		}
 		select {
 		case <-ctx.Done():
@@ -41,9 +40,9 @@
 	}
 }
 
-// waitForOwnerExit connects to an address, waits until the connection breaks or the owner
+// waitForRefusal connects to an address, waits until the connection breaks or the owner
 // changes, and reports whether new connections are refused.
-func (h *Host) waitForOwnerExit(ctx context.Context, address string, ownerChanged <-chan struct{}) bool {
+func (h *Host) waitForRefusal(ctx context.Context, address string, ownerChanged <-chan struct{}) bool {
 	dialer := &net.Dialer{Timeout: peerDialTimeout, KeepAlive: peerKeepAlive}
 	connection, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
--- a/internal/poolhost/term.go
+++ b/internal/poolhost/term.go
@@ -43,10 +43,10 @@
 	failed atomic.Bool
 }
 
-func (h *Host) beginTerm(fence store.Revision) {
+func (h *Host) beginTerm(fence store.Revision, leaseLeft time.Duration) {
 	ctx, cancel := context.WithCancel(h.ctx)
 	t := &term{host: h, fence: fence, startedAt: h.Clock.Now(), ctx: ctx, cancel: cancel, pendingCancels: map[model.JobID]bool{}, workerEntries: newEntryTimes()}
-	owner := pool.NewOwner(uint64(fence), h.Timing, h.Events, h.Clock.Now())
+	owner := pool.NewOwner(uint64(fence), termTiming(h.Timing, leaseLeft), h.Events, h.Clock.Now())
 	h.Events.RecordFields(event.OwnershipTaken, event.Subject{Host: h.Name}, event.Fields{"fence": fence})
 	t.loop = pool.NewLoop(owner, pool.Ports{
 		Clock: h.Clock, Workers: h.Workers, Adviser: h.Adviser, Machines: h.Machines, Store: h.Store, Gate: t.gate,
@@ -62,6 +62,19 @@
 	t.background(t.loadAndFollow)
 }
 
+// permission is how long after its last renewal an owner may start tasks, order upkeeps and
+// record progress.
+const permission = ownerLeaseTTL - leaseSafetyMargin
+
+// termTiming returns the timing of a term that began with leaseLeft left of the earlier owner's
+// lease. The earlier owner may not know yet that it was replaced: it may still give orders, and
+// goes on renewing the leases of running tasks until some time after its own would have expired.
+func termTiming(timing pool.Timing, leaseLeft time.Duration) pool.Timing {
+	timing.OrderPermission = permission
+	timing.TakeoverWait += leaseLeft
+	return timing
+}
+
 // applyConfig applies the configuration to the pool.Owner.
 func (t *term) applyConfig(o *pool.Owner, config *Configuration, now time.Time) {
 	o.SetPolicy(config.Policy(), now)
@@ -123,7 +136,7 @@
 	if !owned {
 		return pool.Gate{}
 	}
-	confirmed := renewalAge < ownerLeaseTTL-leaseSafetyMargin
+	confirmed := renewalAge < permission
 	_, configAge, _ := t.host.config.get()
 	return pool.Gate{
 		MayStart:       confirmed && loaded && configAge < maxConfigAgeForStarts,
