Refused connections replace an incarnation of the owner once only

Callers: while a cut between hosts refuses connections, the owner changed all the time. Each takeover claims the workers anew, starts the waits for unreachable ones and for machine orders again, and answers callers "no owner" meanwhile. Cause: a host kept an owner's incarnation for dead although it had become the owner again, and the two hosts on either side of the cut suspected each other in turn.

A suspicion now belongs to one revision of the owner key. An incarnation that writes the key again is alive; from then on its lease alone decides for that host. A new incarnation may be suspected again, so a takeover after each kill is as fast as before.

TestRefusedConnectionsReplaceAnIncarnationOnce failed before.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -153,7 +153,7 @@
 	OwnerChanged:     {"owner changed", logrus.InfoLevel, "The pool has another owner, or none."},
 	OwnerFailed:      {"owner failed", logrus.ErrorLevel, "The scheduler of the pool panicked. Its term ends, another host takes over, and this host goes on serving callers."},
 	OwnershipYielded: {"ownership yielded", logrus.InfoLevel, "The owner hands the pool over to a host with a much higher weight."},
-	OwnerSuspected:   {"owner suspected", logrus.WarnLevel, "The pool's owner refuses connections: its process has ended, or it is cut off. This host ends its lease and takes part in an election."},
+	OwnerSuspected:   {"owner suspected", logrus.WarnLevel, "The pool's owner refuses connections: its process has ended, or it is cut off. This host ends its lease and takes part in an election, once for each incarnation."},
 	OwnerSilent:      {"owner silent", logrus.WarnLevel, "The pool's owner does not answer this host; job states are read from the store."},
 	OwnerAnswers:     {"owner answers", logrus.InfoLevel, "The pool's owner answers this host again."},
 
--- a/internal/poolhost/elector.go
+++ b/internal/poolhost/elector.go
@@ -78,8 +78,12 @@
 	lease store.LeaseID
 	// electionDue is signalled when the owner key is absent or its holder is gone.
 	electionDue chan struct{}
-	// suspect is the incarnation of an owner that has refused connections.
-	suspect string
+	// keyIncarnation and keyRevision are those of the owner key as last seen.
+	keyIncarnation string
+	keyRevision    store.Revision
+	// suspects holds the incarnations of owners that have refused connections, with the revision
+	// of the owner key at that time.
+	suspects map[string]store.Revision
 	// leaseCutShortAt is when this host last ended the lease of an owner that may live on.
 	leaseCutShortAt time.Time
 	// ownershipEnded is signalled when this host's ownership was handed over or has been lost.
@@ -92,13 +96,19 @@
 }
 
 func newElector(s store.Store, clock clockwork.Clock, self ownerValue, events *event.Recorder) *elector {
-	return &elector{store: s, clock: clock, self: self, events: events, electionDue: make(chan struct{}, 1), ownershipEnded: make(chan struct{}, 1)}
+	return &elector{store: s, clock: clock, self: self, events: events, electionDue: make(chan struct{}, 1), ownershipEnded: make(chan struct{}, 1), suspects: map[string]store.Revision{}}
 }
 
 // ownerKeyChanged handles a new value of the owner key; nil means that it is absent.
 func (e *elector) ownerKeyChanged(kv *store.KeyValue) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.keyIncarnation, e.keyRevision = "", 0
+	if kv != nil {
+		if value, err := decodeOwner(kv.Value); err == nil {
+			e.keyIncarnation, e.keyRevision = value.Incarnation, kv.ModRevision
+		}
+	}
 	if e.withdrawn {
 		return
 	}
@@ -134,7 +144,7 @@
 			return replaceEnded
 		}
 		return replaceSuspect
-	case e.suspect != "" && value.Incarnation == e.suspect:
+	case e.suspects[value.Incarnation] == kv.ModRevision:
 		return replaceSuspect
 	}
 	return keepHolder
@@ -142,14 +152,16 @@
 
 // suspectOwner handles an owner that refuses connections. Its process has ended, or it is cut off
 // from this host: the two can't be told apart. So this host may end the owner's lease and take
-// over. It reports whether the suspicion is a new one.
+// over, but once only: an incarnation that becomes the owner again is alive, and from then on its
+// lease alone decides. Otherwise two hosts that are cut off from each other would replace each
+// other for as long as the cut lasts. It reports whether the suspicion is a new one.
 func (e *elector) suspectOwner(incarnation string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.withdrawn || e.suspect == incarnation {
+	if _, known := e.suspects[incarnation]; known || e.withdrawn || e.keyIncarnation != incarnation {
 		return false
 	}
-	e.suspect = incarnation
+	e.suspects[incarnation] = e.keyRevision
 	signal(e.electionDue)
 	return true
 }
--- a/internal/poolhost/replacement_test.go
+++ b/internal/poolhost/replacement_test.go
@@ -89,6 +89,24 @@
 	}
 }
 
+// Guards against two hosts that are cut off from each other and replace each other for as long as
+// the cut lasts.
+func TestRefusedConnectionsReplaceAnIncarnationOnce(t *testing.T) {
+	e := newElection(t)
+	e.write(ownerA)
+	require.True(t, e.suspectOwner("a1"))
+	require.True(t, e.isElected())
+	lease := e.write(ownerA)
+	require.False(t, e.suspectOwner("a1"))
+	require.False(t, e.isElected())
+	require.True(t, e.isValid(lease))
+	restarted := ownerA
+	restarted.Incarnation = "a2"
+	e.write(restarted)
+	require.True(t, e.suspectOwner("a2"), "another incarnation may have ended")
+	require.True(t, e.isElected())
+}
+
 // Guards against an election while the earlier owner's lease may still be valid: the call that
 // ends it had no response.
 func TestNoElectionBeforeTheLeaseHasCertainlyEnded(t *testing.T) {
