--- a/internal/poolhost/refused_test.go
+++ b/internal/poolhost/refused_test.go
@@ -143,10 +143,20 @@
 	first := machines.orders()[0]
 	a.refuse()
 	eventually(t, "b is the owner", func() bool { return b.Status().Term != nil })
+	// The hosts read the configuration again now and then: they order nothing unless it is
+	// confirmed, and the watches of a store whose clock stands still don't confirm it.
+	polls := 0
+	confirmConfig := func() {
+		if polls%100 == 0 {
+			d.store.Compact()
+		}
+		polls++
+	}
 	eventually(t, "b orders the upkeep", func() bool {
+		confirmConfig()
 		return slices.ContainsFunc(machines.orders(), func(fence uint64) bool { return fence > first })
 	})
 	seen := len(machines.orders())
-	eventually(t, "more orders", func() bool { return len(machines.orders()) >= seen+3 })
+	eventually(t, "more orders", func() bool { confirmConfig(); return len(machines.orders()) >= seen+3 })
 	require.IsNonDecreasing(t, machines.orders(), "an order of the earlier owner came after one of the later")
 }
