Tasks on a worker that doesn't answer are not at work for disruption budgets

Cause: until the lease of a silent worker ends (6 s), its tasks counted as at work, by the last answer. Evidence: in the simulation, a worker crashes with one of two serving tasks; a wave that is late stops the other one 3 s later.

Tasks on a worker whose latest renewal failed now count as away. An upkeep that waits for this goes on once the worker answers or its tasks run elsewhere.

TestTasksOnASilentWorkerAreNotAtWork failed before.

--- a/internal/pool/drain.go
+++ b/internal/pool/drain.go
@@ -67,20 +67,22 @@
 func (o *Owner) mayDisrupt(g *taskGroup) bool {
 	unavailable := 0
 	for _, other := range g.step.taskGroups {
-		if other != g && !other.isServing() {
+		if other != g && !o.isServing(other) {
 			unavailable += other.tasks()
 		}
 	}
 	return unavailable+g.tasks() <= g.step.spec.DisruptionBudget
 }
 
-// isServing reports whether all tasks of a long-running task group are ready.
-func (g *taskGroup) isServing() bool {
+// isServing reports whether all tasks of a long-running task group are ready. A worker that doesn't
+// answer may have crashed, so that its tasks don't count before it answers again.
+func (o *Owner) isServing(g *taskGroup) bool {
 	if g.state() != taskGroupRunning {
 		return false
 	}
 	for _, m := range g.members {
-		if m.progress.percent < 100 {
+		w, ok := o.workers.get(m.workerID)
+		if !ok || !w.failingSince.IsZero() || m.progress.percent < 100 {
 			return false
 		}
 	}
--- a/internal/pool/upkeep_evidence_test.go
+++ b/internal/pool/upkeep_evidence_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/chervilrun/chervilrun/internal/pool"
 )
 
 // Guards against a gap between the orders of two owners that counts from the takeover: an earlier
@@ -39,3 +41,24 @@
 		return true
 	}))
 }
+
+// Guards against an upkeep that ends a serving task while another of its step is on a worker that
+// doesn't answer: that one counted as at work until its lease had expired.
+func TestTasksOnASilentWorkerAreNotAtWork(t *testing.T) {
+	sim := startSimulation(t, 1, 2)
+	sim.maxMachinesDown = 1
+	sim.run(500 * time.Millisecond)
+	serve := step(2, 8, time.Second)
+	serve.LongRunning, serve.DisruptionBudget, serve.MaxPerWorker = true, 1, 1
+	sim.submit("serving", "aso", normalQueue(), serve)
+	require.True(t, sim.runUntil(10*time.Second, func() bool { return sim.runningTasks() == 2 }))
+	sim.run(5 * time.Second)
+	silent, other := sim.workers[sim.ids[0]], sim.workers[sim.ids[1]]
+	silent.goDown(workerRestart{after: 20 * time.Second})
+	// The owner notices the silence by the renewal that waits at that moment.
+	sim.run(3 * time.Second)
+	sim.requestWaves(pool.Wave{Number: 1, Machines: []pool.MachineID{machineOf(other)}, MaxDown: 1, Due: sim.now()})
+	disrupted := func() bool { return len(other.runs) == 0 || len(sim.machinesDown) > 0 }
+	require.False(t, sim.runUntil(3*time.Second, disrupted))
+	require.True(t, sim.runUntil(2*time.Minute, func() bool { return sim.waveState(1) == "completed" }))
+}
