--- a/internal/pool/simulation_test.go
+++ b/internal/pool/simulation_test.go
@@ -51,6 +51,10 @@
 	// loseCall decides whether the response to a call is lost, and after how long the call is
 	// executed all the same.
 	loseCall func(c pool.Call) (lost bool, late time.Duration)
+	// leaseLeft is how much of the earlier owner's lease is left at the next takeover.
+	leaseLeft time.Duration
+	// alterResponse replaces the response of a worker that has carried out a call.
+	alterResponse func(c pool.Call, inventory pool.Inventory, err error) (pool.Inventory, error)
 	// unreachable holds the workers that can't be reached.
 	unreachable map[model.WorkerID]bool
 	// storeDown makes every transaction fail. loseWrites is the number of transactions
@@ -174,6 +178,7 @@
 	require.True(sim.t, result.Succeeded)
 	o := &fakeOwner{sim: sim, fence: result.Revision, renewedAt: sim.now(), renewing: true, loaded: map[model.JobID]bool{}}
 	timing := pool.DefaultTiming(workerLease, retention)
+	timing.TakeoverWait += sim.leaseLeft
 	o.owner = pool.NewOwner(uint64(o.fence), timing, sim.recorder(), sim.now())
 	o.owner.SetPolicy(sim.policy, sim.now())
 	sim.owner = o
@@ -512,6 +517,14 @@
 }
 
 func (sim *simulation) execute(call pool.Call) (pool.Inventory, error) {
+	inventory, err := sim.carryOut(call)
+	if sim.alterResponse != nil {
+		return sim.alterResponse(call, inventory, err)
+	}
+	return inventory, err
+}
+
+func (sim *simulation) carryOut(call pool.Call) (pool.Inventory, error) {
 	worker := sim.workers[call.Target.Worker]
 	if worker == nil {
 		return pool.Inventory{}, sim.replacementError(call.Target.Address)
@@ -657,6 +670,8 @@
 	incarnation int64
 	// startedAt is the start of this incarnation; the worker's clock counts from there.
 	startedAt time.Time
+	// clockSlow is the share by which the worker's clock runs slow.
+	clockSlow float64
 	unlisted  bool
 	down      bool
 	// left workers have ended as planned: nothing listens at their address.
@@ -693,7 +708,9 @@
 
 func (f *fakeWorker) now() time.Time { return f.sim.now() }
 
-func (f *fakeWorker) clockMS() int64 { return f.now().Sub(f.startedAt).Milliseconds() + 1000 }
+func (f *fakeWorker) clockMS() int64 {
+	return int64((1-f.clockSlow)*float64(f.now().Sub(f.startedAt).Milliseconds())) + 1000
+}
 
 func (f *fakeWorker) start(order pool.StartOrder) error {
 	if order.Fence < f.fence {
