--- a/internal/pool/responses.go
+++ b/internal/pool/responses.go
@@ -132,11 +132,14 @@
 		w.claimInFlight = false
 		o.claimsInFlight--
 	}
+	if err == nil && inventory.Incarnation == 0 {
+		err = errors.WithMessage(ErrResponseLost, "the response names no incarnation")
+	}
 	if err != nil {
 		o.renewalFailed(w, err)
 		return
 	}
-	if inventory.Incarnation != 0 && inventory.Incarnation < w.Incarnation {
+	if inventory.Incarnation < w.Incarnation {
 		// The response of an earlier incarnation arrived after news of a later one.
 		w.nextRenewal = now
 		return
