--- a/internal/pool/advance.go
+++ b/internal/pool/advance.go
@@ -113,7 +113,7 @@
 			o.workerCrashed(w, crashReplaced)
 		}
 		w.orphans.clear()
-		defer o.endRecordedRuns(w.info.ID)
+		defer o.endRecordedRuns(w.info.ID, proof)
 	}
 	for _, m := range w.members.all() {
 		o.memberEnded(m, EndLeaseExpired, "", proof)
@@ -121,17 +121,24 @@
 }
 
 // endRecordedRuns ends the runs of earlier owners on a worker that has not listed them.
-func (o *Owner) endRecordedRuns(id model.WorkerID) {
+func (o *Owner) endRecordedRuns(id model.WorkerID, proof evidence.Proof) {
 	for _, g := range o.stillRecovering() {
 		for _, m := range g.members {
 			if m.phase == memberUnverified && m.workerID == id {
-				o.markGone(m)
+				o.recordedRunEnded(m, proof)
 			}
 		}
 		o.resolveRecovery(g)
 	}
 }
 
+// recordedRunEnded handles the proven end of the run of an earlier owner on a worker that has not
+// listed it.
+func (o *Owner) recordedRunEnded(m *member, proof evidence.Proof) {
+	o.emitEnd(m, EndLeaseExpired, "", proof)
+	o.markGone(m)
+}
+
 // expireUnverified gives up recorded runs on workers that can't be reached, once every
 // lease that the previous owner may have granted has expired.
 func (o *Owner) expireUnverified() {
--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -7,6 +7,7 @@
 
 	"github.com/chervilrun/chervilrun/internal/event"
 	"github.com/chervilrun/chervilrun/internal/model"
+	"github.com/chervilrun/chervilrun/internal/pool/evidence"
 	"github.com/chervilrun/chervilrun/internal/scheduler/crashes"
 	plan "github.com/chervilrun/chervilrun/internal/scheduler/pool"
 	"github.com/chervilrun/chervilrun/internal/workflow"
@@ -326,7 +327,7 @@
 		o.unlistedWorkers[m.workerID] = unlistedWorker{incarnation: m.incarnation, runs: append(u.runs, lost), at: o.now}
 		o.reportCrash(m.workerID, crashUnlisted, []lostRun{lost})
 	}
-	o.markGone(m)
+	o.recordedRunEnded(m, evidence.LeaseExpired)
 }
 
 // handleNewWorker looks for what a worker that was not known says of earlier ones: it may
--- a/internal/pool/reconcile.go
+++ b/internal/pool/reconcile.go
@@ -90,13 +90,17 @@
 	recovering := o.stillRecovering()
 	for _, g := range recovering {
 		for _, m := range g.members {
-			if m.phase != memberUnverified || m.workerID != w.info.ID || m.evidence().Missing(response) == evidence.None {
+			if m.phase != memberUnverified || m.workerID != w.info.ID {
+				continue
+			}
+			proof := m.evidence().Missing(response)
+			if proof == evidence.None {
 				continue
 			}
 			if m.incarnation != 0 && w.Incarnation > m.incarnation && !w.endsByOrder() {
 				lost = append(lost, o.lostUnverified(m))
 			}
-			o.markGone(m)
+			o.recordedRunEnded(m, proof)
 			o.markChanged(g.job)
 		}
 	}
--- a/internal/pool/runs.go
+++ b/internal/pool/runs.go
@@ -164,8 +164,7 @@
 	if m.phase == memberGone {
 		return
 	}
-	w, known := o.workers.get(m.workerID)
-	if known {
+	if w, ok := o.workers.get(m.workerID); ok {
 		w.release(m)
 	}
 	o.markGone(m)
@@ -178,11 +177,7 @@
 	if checkpoint != "" {
 		g.checkpoint = checkpoint
 	}
-	fields := event.Fields{"task": string(m.key().Task), "run": m.run, "cause": string(cause), "why": string(proof), "saved": checkpoint != ""}
-	if known && proof != evidence.Listed {
-		o.addWorkerState(fields, w)
-	}
-	o.emit(event.TaskEnded, event.Subject{Job: string(g.job.id()), Worker: string(m.workerID)}, fields)
+	o.emitEnd(m, cause, checkpoint, proof)
 	if state := g.state(); state == taskGroupStarting || state == taskGroupRunning {
 		g.noteEnd(o.now)
 	}
@@ -197,6 +192,15 @@
 	o.stopTaskGroup(g, "part_"+string(cause))
 }
 
+// emitEnd logs the end of a member, with the state of its worker if the worker hasn't listed it.
+func (o *Owner) emitEnd(m *member, cause EndCause, checkpoint string, proof evidence.Proof) {
+	fields := event.Fields{"task": string(m.key().Task), "run": m.run, "cause": string(cause), "why": string(proof), "saved": checkpoint != ""}
+	if w, ok := o.workers.get(m.workerID); ok && proof != evidence.Listed {
+		o.addWorkerState(fields, w)
+	}
+	o.emit(event.TaskEnded, event.Subject{Job: string(m.group.job.id()), Worker: string(m.workerID)}, fields)
+}
+
 // addWorkerState adds what is known of a worker when the end of a run is concluded and not listed.
 // A run may live as long as its lease, so that lease_left_ms tells how much rests on the conclusion.
 func (o *Owner) addWorkerState(fields event.Fields, w *worker) {
--- a/internal/pool/upkeep.go
+++ b/internal/pool/upkeep.go
@@ -8,6 +8,7 @@
 
 	"github.com/chervilrun/chervilrun/internal/event"
 	"github.com/chervilrun/chervilrun/internal/model"
+	"github.com/chervilrun/chervilrun/internal/pool/evidence"
 	"github.com/chervilrun/chervilrun/internal/store"
 )
 
@@ -251,7 +252,7 @@
 		"wave": m.id.wave, "machine": string(m.id.machine), "emptied": listed.Emptied, "worker_now": string(listed.Worker), "runs": runs,
 	})
 	if !known {
-		o.endRecordedRuns(m.previousWorker)
+		o.endRecordedRuns(m.previousWorker, evidence.UpkeepBegun)
 		return
 	}
 	w.MachineTakenDown()
