--- a/internal/pool/simulation_test.go
+++ b/internal/pool/simulation_test.go
@@ -51,6 +51,10 @@
 	// loseCall decides whether the response to a call is lost, and after how long the call is
 	// executed all the same.
 	loseCall func(c pool.Call) (lost bool, late time.Duration)
+	// carry, if set, carries out the calls to workers in place of the simulation's network.
+	// listedWorkers, if set, is what owners read as the list of workers.
+	carry         func(o *fakeOwner, call pool.Call)
+	listedWorkers func() []pool.WorkerInfo
 	// unreachable holds the workers that can't be reached.
 	unreachable map[model.WorkerID]bool
 	// storeDown makes every transaction fail. loseWrites is the number of transactions
@@ -200,6 +204,9 @@
 		}
 	}
 	list = append(list, sim.crashedWorkers...)
+	if sim.listedWorkers != nil {
+		list = sim.listedWorkers()
+	}
 	o.owner.SetWorkers(list, sim.now())
 	o.owner.SetPolicy(sim.policy, sim.now())
 	o.load()
@@ -326,6 +333,9 @@
 	case call.Upkeep != nil:
 		sim.deliverUpkeep(o, call)
 		return
+	case sim.carry != nil:
+		sim.carry(o, call)
+		return
 	}
 	if sim.unreachable[call.Target.Worker] {
 		sim.after(call.Timeout, func() { o.handleResult(call, pool.Inventory{}, pool.ErrResponseLost) })
@@ -657,8 +667,10 @@
 	incarnation int64
 	// startedAt is the start of this incarnation; the worker's clock counts from there.
 	startedAt time.Time
-	unlisted  bool
-	down      bool
+	// slowness is the share by which the worker's clock runs slow.
+	slowness float64
+	unlisted bool
+	down     bool
 	// left workers have ended as planned: nothing listens at their address.
 	left bool
 	// cutRefusing workers run, but connections to them are refused.
@@ -693,7 +705,9 @@
 
 func (f *fakeWorker) now() time.Time { return f.sim.now() }
 
-func (f *fakeWorker) clockMS() int64 { return f.now().Sub(f.startedAt).Milliseconds() + 1000 }
+func (f *fakeWorker) clockMS() int64 {
+	return int64((1-f.slowness)*float64(f.now().Sub(f.startedAt).Milliseconds())) + 1000
+}
 
 func (f *fakeWorker) start(order pool.StartOrder) error {
 	if order.Fence < f.fence {
