Property test: lost runs are replaced soon after their lease

A run that is lost with its worker has to run again within 3 s of when it has certainly ended (the last lease granted, with 2%, or what a worker that is back says), an owner works and there is room; the waits of a new owner (10.6 s from its start) and after a restart count as allowed.

--- a/internal/pool/evidence_days_test.go
+++ b/internal/pool/evidence_days_test.go
@@ -335,6 +335,9 @@
 		return // the list is delivered once the store is back
 	}
 	s.delivered, s.deliveredVersion = list, version
+	for _, info := range list {
+		s.liveness.learned(info.ID, info.Incarnation)
+	}
 	s.reload()
 }
 
@@ -376,7 +379,7 @@
 		incarnation := s.incarnationOf(call.Target.Worker)
 		s.after(after, func() {
 			if incarnation != 0 && s.incarnationOf(call.Target.Worker) == incarnation && !d.worker.left {
-				_, _ = s.execute(call)
+				_, _ = s.executeNow(call)
 			}
 		})
 	}
@@ -415,11 +418,25 @@
 			s.waitForEnd(o, call, d, s.now().Add(call.Renew.Wait))
 			return
 		}
-		inventory, err := s.execute(call)
+		inventory, err := s.executeNow(call)
 		respond(delay, inventory, err)
 	}
 }
 
+// executeNow executes a call, once the leases that have expired by now have ended runs.
+func (s *evidenceSim) executeNow(call pool.Call) (pool.Inventory, error) {
+	for _, d := range s.days {
+		if !d.worker.down && !d.worker.left {
+			d.worker.advance()
+		}
+	}
+	inventory, err := s.execute(call)
+	if inventory.Incarnation > 0 {
+		s.liveness.learned(call.Target.Worker, inventory.Incarnation)
+	}
+	return inventory, err
+}
+
 // waitForEnd responds to a renewal that waits for the end of a run.
 func (s *evidenceSim) waitForEnd(o *fakeOwner, call pool.Call, d *workerDay, until time.Time) {
 	inventory, err := s.execute(call)
@@ -481,7 +498,7 @@
 	d.troubledAt = s.now()
 	switch e.kind {
 	case faultDrains, faultDrainsCut:
-		if f.info.Draining {
+		if f.info.Draining || s.staying() <= minStayingWorkers {
 			return
 		}
 		if e.kind == faultDrainsCut {
@@ -521,6 +538,20 @@
 	}
 }
 
+// minStayingWorkers is the number of workers that don't drain, enough for every job.
+const minStayingWorkers = 3
+
+// staying counts the workers that don't drain.
+func (s *evidenceSim) staying() int {
+	count := 0
+	for _, d := range s.days {
+		if !d.worker.info.Draining {
+			count++
+		}
+	}
+	return count
+}
+
 // cut cuts a worker off from the owners.
 func (s *evidenceSim) cut(d *workerDay, kind string, length time.Duration) {
 	d.cuts = append(d.cuts, kind)
@@ -561,14 +592,11 @@
 	s.outageLapses = e.variant%2 == 0
 	owner := s.owner
 	s.storeDown, owner.renewing = true, false
-	s.liveness.ownerTroubled()
 	s.after(length, func() {
 		s.storeDown, owner.renewing = false, true
-		s.liveness.ownerTroubled()
 		if length > ownerLease {
 			owner.stopped = true
 			s.takeOver()
-			s.liveness.ownerTroubled()
 		}
 		s.listChanged()
 	})
@@ -580,7 +608,6 @@
 		return
 	}
 	s.changingOwner = true
-	s.liveness.ownerTroubled()
 	takeovers[way](s.simulation)
 	s.after(ownerLease+3*time.Second, func() { s.changingOwner = false })
 }
@@ -604,15 +631,14 @@
 		s.after(e.at, func() { s.happen(e) })
 	}
 	s.run(evidenceDayLength + 20*time.Second)
+	s.liveness.ended = true
 	for _, id := range ids {
 		if s.records[id].Spec.LongRunning() {
 			s.cancel(id)
 		}
 	}
-	if slices.ContainsFunc(s.days, func(d *workerDay) bool { return !d.worker.left }) {
-		for _, id := range ids {
-			require.True(t, s.runUntil(5*time.Minute, func() bool { return s.state(id).Final() }), "%s is still %s", id, s.state(id))
-		}
+	for _, id := range ids {
+		require.True(t, s.runUntil(3*time.Minute, func() bool { return s.state(id).Final() }), "%s is still %s", id, s.state(id))
 	}
 	return s
 }
