--- a/internal/pool/simulation_test.go
+++ b/internal/pool/simulation_test.go
@@ -55,6 +55,10 @@
 	leaseLeft time.Duration
 	// alterResponse replaces the response of a worker that has carried out a call.
 	alterResponse func(c pool.Call, inventory pool.Inventory, err error) (pool.Inventory, error)
+	// carry, if set, carries out the calls to workers in place of the simulation's network.
+	// listedWorkers, if set, is what owners read as the list of workers.
+	carry         func(o *fakeOwner, call pool.Call)
+	listedWorkers func() []pool.WorkerInfo
 	// unreachable holds the workers that can't be reached.
 	unreachable map[model.WorkerID]bool
 	// storeDown makes every transaction fail. loseWrites is the number of transactions
@@ -205,6 +209,9 @@
 		}
 	}
 	list = append(list, sim.crashedWorkers...)
+	if sim.listedWorkers != nil {
+		list = sim.listedWorkers()
+	}
 	o.owner.SetWorkers(list, sim.now())
 	o.owner.SetPolicy(sim.policy, sim.now())
 	o.load()
@@ -331,6 +338,9 @@
 	case call.Upkeep != nil:
 		sim.deliverUpkeep(o, call)
 		return
+	case sim.carry != nil:
+		sim.carry(o, call)
+		return
 	}
 	if sim.unreachable[call.Target.Worker] {
 		sim.after(call.Timeout, func() { o.handleResult(call, pool.Inventory{}, pool.ErrResponseLost) })
@@ -670,10 +680,10 @@
 	incarnation int64
 	// startedAt is the start of this incarnation; the worker's clock counts from there.
 	startedAt time.Time
-	// clockSlow is the share by which the worker's clock runs slow.
-	clockSlow float64
-	unlisted  bool
-	down      bool
+	// slowness is the share by which the worker's clock runs slow.
+	slowness float64
+	unlisted bool
+	down     bool
 	// left workers have ended as planned: nothing listens at their address.
 	left bool
 	// cutRefusing workers run, but connections to them are refused.
@@ -709,7 +719,7 @@
 func (f *fakeWorker) now() time.Time { return f.sim.now() }
 
 func (f *fakeWorker) clockMS() int64 {
-	return int64((1-f.clockSlow)*float64(f.now().Sub(f.startedAt).Milliseconds())) + 1000
+	return int64((1-f.slowness)*float64(f.now().Sub(f.startedAt).Milliseconds())) + 1000
 }
 
 func (f *fakeWorker) start(order pool.StartOrder) error {
--- a/internal/pool/slow_clock_test.go
+++ b/internal/pool/slow_clock_test.go
@@ -16,7 +16,7 @@
 			t.Run(fmt.Sprintf("takeover %v, phase %d", takeOver, phase), func(t *testing.T) {
 				sim := newSimulation(t, 1, 1, 4)
 				for _, f := range sim.workers {
-					f.clockSlow = 0.02
+					f.slowness = 0.02
 				}
 				sim.after(0, sim.tick)
 				sim.takeOver()
