A worker's clock is read only from responses of its present incarnation

Callers would have seen a task run twice. The response to an order of an earlier incarnation, overtaken by the first response of the present one, set the worker's clock far ahead; start orders sent before the next renewal then expired minutes later, and one that was lost and carried out 11.5 s later began a run that had been given up with the lease.

Orders now carry the incarnation that was known when they were made, and a clock reading counts only while that is the present one.

Found by the property test of evidence.

--- a/internal/pool/advance.go
+++ b/internal/pool/advance.go
@@ -24,9 +24,11 @@
 	Sent     time.Time
 	Timeout  time.Duration
 
-	member        *member
-	orphan        *orphan
-	worker        *worker
+	member *member
+	orphan *orphan
+	worker *worker
+	// incarnation is that of the worker, as it was known when the call was made.
+	incarnation   int64
 	step          *step
 	machineUpkeep *machineUpkeep
 }
@@ -219,7 +221,7 @@
 	m.startDue = false
 	w.ordersInFlight++
 	m.startInFlight, m.startSentAt = true, o.now
-	o.pendingCalls = append(o.pendingCalls, Call{Target: w.target(), Start: &order, Sent: o.now, Timeout: o.timing.CallTimeout, member: m, worker: w})
+	o.pendingCalls = append(o.pendingCalls, Call{Target: w.target(), Start: &order, Sent: o.now, Timeout: o.timing.CallTimeout, member: m, worker: w, incarnation: w.Incarnation})
 }
 
 // confirmedStopRetry is the time after which a confirmed stop order is sent again if the
@@ -241,7 +243,7 @@
 func (o *Owner) sendStop(w *worker, key RunKey, m *member, orphan *orphan) {
 	w.ordersInFlight++
 	order := StopOrder{Task: key.Task, Run: key.Run, Fence: o.fence}
-	o.pendingCalls = append(o.pendingCalls, Call{Target: w.target(), Stop: &order, Sent: o.now, Timeout: o.timing.CallTimeout, member: m, orphan: orphan, worker: w})
+	o.pendingCalls = append(o.pendingCalls, Call{Target: w.target(), Stop: &order, Sent: o.now, Timeout: o.timing.CallTimeout, member: m, orphan: orphan, worker: w, incarnation: w.Incarnation})
 }
 
 func (o *Owner) sendRenewals() {
@@ -280,7 +282,7 @@
 		w.claimInFlight = true
 		o.claimsInFlight++
 	}
-	o.pendingCalls = append(o.pendingCalls, Call{Target: w.target(), Renew: &order, Sent: o.now, Timeout: o.timing.CallTimeout + order.Wait, worker: w})
+	o.pendingCalls = append(o.pendingCalls, Call{Target: w.target(), Renew: &order, Sent: o.now, Timeout: o.timing.CallTimeout + order.Wait, worker: w, incarnation: w.Incarnation})
 }
 
 // visibleState returns the state of a job that callers may see: a final state is shown only
--- a/internal/pool/responses.go
+++ b/internal/pool/responses.go
@@ -16,7 +16,7 @@
 	m, w := call.member, call.worker
 	m.startInFlight = false
 	w.ordersInFlight--
-	w.readClock(clockMS, now)
+	w.readClockFrom(call, clockMS, now)
 	if errors.Is(err, ErrFenced) {
 		o.loseOwnership("worker", string(w.info.ID))
 		return
@@ -100,7 +100,7 @@
 func (o *Owner) StopDone(call Call, clockMS int64, err error, now time.Time) {
 	o.now = now
 	call.worker.ordersInFlight--
-	call.worker.readClock(clockMS, now)
+	call.worker.readClockFrom(call, clockMS, now)
 	if errors.Is(err, ErrFenced) {
 		o.loseOwnership("worker", string(call.worker.info.ID))
 		return
--- a/internal/pool/throttle.go
+++ b/internal/pool/throttle.go
@@ -71,7 +71,7 @@
 func (o *Owner) sendPace(w *worker, m *member, share int, ratio float64) {
 	order := PaceOrder{RunKey: m.key(), Percent: share, Fence: o.fence}
 	m.paceInFlight, m.requestedShare = true, share
-	o.pendingCalls = append(o.pendingCalls, Call{Target: w.target(), Pace: &order, Sent: o.now, Timeout: o.timing.CallTimeout, member: m, worker: w})
+	o.pendingCalls = append(o.pendingCalls, Call{Target: w.target(), Pace: &order, Sent: o.now, Timeout: o.timing.CallTimeout, member: m, worker: w, incarnation: w.Incarnation})
 	o.emit(event.FillerThrottled, event.Subject{Job: string(m.group.job.id()), Worker: string(w.info.ID)}, event.Fields{
 		"task": string(order.Task), "percent": share, "before": m.share, "strain": ratio,
 	})
@@ -81,7 +81,7 @@
 func (o *Owner) PaceDone(call Call, clockMS int64, err error, now time.Time) {
 	o.now = now
 	call.member.paceInFlight = false
-	call.worker.readClock(clockMS, now)
+	call.worker.readClockFrom(call, clockMS, now)
 	if err == nil {
 		call.member.share = call.member.requestedShare
 	}
--- a/internal/pool/worker.go
+++ b/internal/pool/worker.go
@@ -124,6 +124,14 @@
 	}
 }
 
+// readClockFrom stores the reading of the worker's clock in the response to an order, unless the
+// worker has restarted since: each incarnation has a clock of its own.
+func (w *worker) readClockFrom(call Call, clockMS int64, now time.Time) {
+	if call.incarnation == w.Incarnation {
+		w.readClock(clockMS, now)
+	}
+}
+
 // expiresAt is the time by which the worker's clock has certainly passed clockMS.
 func (w *worker) expiresAt(clockMS int64) time.Time {
 	remaining := time.Duration(clockMS-w.clockMS) * time.Millisecond
