After a restart, runs wait for late orders to the earlier incarnation

Callers would have seen a task run twice. A start order names no incarnation and expires by the clock of the one that it was sent to. A worker that restarted within the order's way, was listed and answered nothing, was given up 10.6 s after the restart; the order arrived after 11.5 s and began the run there.

An order without a response may arrive 12 s later (LateOrder), and its lease then lasts up to 6.6 s. Runs with such an order wait for that, unless the later incarnation answers before, which still settles them. Other runs wait as before.

Left: the same with a takeover in between, where the next owner doesn't know of the order. Found by the property test of evidence.

--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -40,6 +40,8 @@
 	MachineOrderGap time.Duration
 	// OrderPermission is how long after a takeover the earlier owner may still send orders.
 	OrderPermission time.Duration
+	// LateOrder is how long after it was sent an order without a response may still arrive.
+	LateOrder time.Duration
 	// StopRetryInterval is the time between two unconfirmed stop orders for the same run.
 	StopRetryInterval time.Duration
 	// Retention is how long the record of an ended job is kept.
@@ -75,8 +77,9 @@
 		StoreTimeout:        300 * time.Millisecond,
 		MaxStoreTimeout:     1500 * time.Millisecond,
 		StoreRetryDelay:     200 * time.Millisecond,
-		TakeoverWait:        LeaseRenewalGrace + time.Duration(float64(workerLease)/(1-maxClockDrift)) + 500*time.Millisecond,
+		TakeoverWait:        LeaseRenewalGrace + longestLease(workerLease),
 		MachineOrderGap:     3 * time.Second,
+		LateOrder:           12 * time.Second,
 		OrderPermission:     3 * time.Second,
 		StopRetryInterval:   300 * time.Millisecond,
 		Retention:           retention,
@@ -85,6 +88,11 @@
 	}
 }
 
+// longestLease is how long a lease may last that a worker was granted for at most workerLease.
+func longestLease(workerLease time.Duration) time.Duration {
+	return time.Duration(float64(workerLease)/(1-maxClockDrift)) + 500*time.Millisecond
+}
+
 // Gate states which effects are allowed at present.
 type Gate struct {
 	// MayStart is true while the ownership is certain and the configuration is confirmed.
--- a/internal/pool/workerlist.go
+++ b/internal/pool/workerlist.go
@@ -77,7 +77,7 @@
 	o.emit(event.WorkerRestarted, event.Subject{Worker: string(w.info.ID)}, event.Fields{"born": incarnation, "before": w.Incarnation, "runs": w.members.len()})
 	o.workerCrashed(w, crashRestarted)
 	w.upkeepOrdered, w.crashed = false, false
-	w.Restarted(incarnation, o.now.Add(o.timing.TakeoverWait))
+	w.Restarted(incarnation, o.leasesAfterRestart(w))
 	w.claimed = false
 	w.acknowledged, w.processed, w.pendingAcks = 0, 0, nil
 	w.clockMS, w.clockReadAt = 0, time.Time{}
@@ -98,3 +98,18 @@
 		m.expiresMS = neverExpires
 	}
 }
+
+// leasesAfterRestart returns when every lease of a restarted worker has run out that orders to its
+// earlier incarnation may have granted. These name no incarnation and expire by the earlier clock,
+// so that one without a response may start its run whenever it arrives.
+func (o *Owner) leasesAfterRestart(w *worker) time.Time {
+	until := o.now.Add(o.timing.TakeoverWait)
+	for _, m := range w.members.all() {
+		if m.startTries > 1 || m.startTries == 1 && m.phase != memberRunning {
+			if late := m.startSentAt.Add(o.timing.LateOrder + longestLease(o.timing.WorkerLease)); late.After(until) {
+				until = late
+			}
+		}
+	}
+	return until
+}
