Long-running tasks are moved before their draining worker leaves

Tasks that end by themselves are stopped in time when they can't finish; long-running ones stayed to the end.

They are now stopped 2.5 s before the minimum time of the worker is over, and start elsewhere.

--- a/internal/pool/progress.go
+++ b/internal/pool/progress.go
@@ -113,8 +113,13 @@
 	}
 }
 
+// longRunningMoveMargin is how long before a draining worker may leave its long-running tasks are
+// stopped. Their worker is asked at least once within it (RenewalWait).
+const longRunningMoveMargin = 2500 * time.Millisecond
+
 // moveOffDraining stops task groups that can't finish before their worker leaves, so that they
-// restart on other workers. Tasks with checkpoints keep their progress.
+// restart on other workers. Tasks with checkpoints keep their progress. Long-running ones would
+// else be away until the lease of the worker has run out.
 func (o *Owner) moveOffDraining(w *worker) {
 	if !w.Draining || w.LeavesAt.IsZero() {
 		return
@@ -122,7 +127,13 @@
 	stay := w.LeavesAt.Sub(o.now)
 	for _, m := range w.members.all() {
 		g := m.group
-		if m.stopping || g.state() != taskGroupRunning || g.step.spec.LongRunning {
+		if m.stopping || g.state() != taskGroupRunning {
+			continue
+		}
+		if g.step.spec.LongRunning {
+			if stay <= longRunningMoveMargin {
+				o.stopTaskGroup(g, "worker_leaves")
+			}
 			continue
 		}
 		remaining := m.progress.remaining(g.step.spec.Estimate, o.now)
