A planned handover waits for the leases of gangs confirmed during it

Callers of a job that started right before a planned handover saw it stopped: a job that may not be repeated ended as unknown (worker_lost), another one ran again.

Cause: a worker counted as having got the lease for the handover after any exchange with that lease. A gang that was still starting when the exchange was built is excepted from it, and once it is confirmed nobody waited for the next exchange. Its short lease (5 s) ended before the next owner came.

Change: an exchange counts only if it extended the leases of all running gangs on the worker, and a gang that is confirmed makes its workers due again. Released then waits for that exchange.

Test: TestGangConfirmedDuringAHandOverIsNotCut begins the handover 0 to 150 ms after the start, in steps of 5 ms; it failed before.

--- a/internal/zone/exchange.go
+++ b/internal/zone/exchange.go
@@ -246,7 +246,7 @@
 		return
 	}
 	w.markStartsSent(call, true)
-	w.handoverLeaseGiven = w.handoverLeaseGiven || call.Exchange.LeaseMS == r.Timing.HandoverLease.Milliseconds()
+	w.handoverLeaseGiven = w.handoverLeaseGiven || r.gaveHandoverLease(w, call)
 	w.throttles = w.throttles[min(len(call.Exchange.Throttles), len(w.throttles)):]
 	w.forget(call.Exchange.Forget)
 	if call.Exchange.Claim {
@@ -259,6 +259,17 @@
 	r.applyReports(w, response.Reports, now)
 }
 
+// gaveHandoverLease reports whether the call extended the leases of all running gangs on the worker
+// for a handover. Gangs that were confirmed after the call was built still have their short lease.
+func (r *Runner) gaveHandoverLease(w *workerState, call Call) bool {
+	if call.Exchange.LeaseMS != r.Timing.HandoverLease.Milliseconds() {
+		return false
+	}
+	return !slices.ContainsFunc(w.tasks, func(t *task) bool {
+		return t.gang.state() == gangRunning && slices.Contains(call.Exchange.ShortLease, t.gang.attempt)
+	})
+}
+
 func (w *workerState) forget(attempts []model.AttemptID) {
 	w.endedAttempts = slices.DeleteFunc(w.endedAttempts, func(e endedAttempt) bool {
 		return slices.Contains(attempts, e.attempt)
--- a/internal/zone/gang.go
+++ b/internal/zone/gang.go
@@ -228,6 +228,7 @@
 	r.Metrics.StartDelay.Observe(now.Sub(g.placedAt).Seconds())
 	r.recordEvent(event.JobRunning, g.job, fmt.Sprintf("attempt %s", g.attempt))
 	for _, t := range g.tasks {
+		t.worker.handoverLeaseGiven = false
 		t.worker.exchangeNow(now)
 	}
 }
--- a/internal/zone/lifecycle_test.go
+++ b/internal/zone/lifecycle_test.go
@@ -71,6 +71,27 @@
 	c.requireInvariants()
 }
 
+// Guards against a gang that keeps its short lease when it is confirmed during a planned handover: the
+// exchange that should have extended its lease was sent before, and no other one was waited for.
+func TestGangConfirmedDuringAHandOverIsNotCut(t *testing.T) {
+	for delay := time.Duration(0); delay <= 150*time.Millisecond; delay += 5 * time.Millisecond {
+		c := newTestCluster(t, 15, 4)
+		z := c.zones[0]
+		c.run(time.Second)
+		c.submitTo(z, nonRepeatable("single", 4, 60*time.Second))
+		require.True(t, c.runUntil(5*time.Second, c.allRunning("single", 4)))
+		c.run(delay)
+		previous := z.owner
+		previous.execute(func() { previous.runner.BeginRelease(c.now()) })
+		require.True(t, c.runUntil(5*time.Second, previous.runner.Released))
+		previous.dead = true
+		c.run(15 * time.Second)
+		c.takeZone(z)
+		c.requireDone(t, "single")
+		c.requireInvariants()
+	}
+}
+
 // TestResumesFromTheLastCheckpoint restarts a worker after a checkpoint round, replaces the
 // owner after another one and restarts a worker again. The job resumes each time.
 func TestResumesFromTheLastCheckpoint(t *testing.T) {
