A worker that the list lacks at a takeover may still run tasks

Callers saw a job run twice at the same time after a change of the zone's owner, when the platform's list lacked the worker that ran it: because the list lags, because the worker is cut off, or because its entry went while the new owner was claiming it. A job that may not be repeated ended as unknown while its task was still running.

Cause: a new owner counted the pool as reconciled once all listed workers had reported their tasks. A missing entry was taken for the end of a worker and of its tasks. Only a report of the worker to the new epoch, or the end of the longest lease that an earlier owner can have given, shows that.

Change: an owner records the workers that it uses under /chervil/workers/ZONE, on condition of its epoch, and places tasks on a worker only once the record names it. The next owner reads the record with the epoch key, in the same call, and waits for each of these workers or for the longest lease. Its own record names them until then, for the owner after it. Without a record nothing is known of the workers, so the lease decides.

Costs: a write when the list changes; a worker that joins while the store is down gets tasks once it is back.

--- a/internal/store/keys.go
+++ b/internal/store/keys.go
@@ -23,6 +23,8 @@
 	EpochsPrefix = WatchedPrefix + "epochs/"
 	// JobsPrefix holds the job records, by availability zone.
 	JobsPrefix = Root + "jobs/"
+	// ZoneWorkersPrefix holds the record of the workers that each zone's owner uses.
+	ZoneWorkersPrefix = Root + "workers/"
 	// OncePrefix holds the single-execution records, by organisation.
 	OncePrefix = Root + "once/"
 )
@@ -46,6 +48,9 @@
 	return ZoneJobsPrefix(zone) + string(job)
 }
 
+// ZoneWorkersKey returns the key of the record of the workers that a zone's owner uses.
+func ZoneWorkersKey(zone model.AvailabilityZoneID) string { return ZoneWorkersPrefix + string(zone) }
+
 // OnceKey returns the key of a single-execution record.
 func OnceKey(organisation model.OrganisationID, idempotencyKey string) string {
 	return OncePrefix + string(organisation) + "/" + idempotencyKey
--- a/internal/zone/cluster_test.go
+++ b/internal/zone/cluster_test.go
@@ -41,6 +41,8 @@
 	zones  []*testZone
 	events *eventqueue.Simulation
 
+	// unlisted workers are missing in the platform's list, as when it lags or they are cut off.
+	unlisted          map[model.WorkerID]bool
 	storeDown         bool
 	writesToLose      int // number of next writes that take effect but lose their response
 	writesToDelay     int // number of next writes that take effect late and lose their response
@@ -75,6 +77,7 @@
 		pool:              pool.New(clock),
 		writeDelay:        4 * time.Second,
 		timing:            zone.DefaultTiming(),
+		unlisted:          map[model.WorkerID]bool{},
 		outcomes:          map[model.JobID]outcome.Outcome{},
 		outOfServiceSince: map[model.AvailabilityZoneID]time.Time{},
 		organisations: []model.Organisation{
@@ -125,7 +128,8 @@
 		cluster.Zones = append(cluster.Zones, model.AvailabilityZone{ID: z.id, OutOfService: z.out})
 		owners[z.id] = view.Owner{Zone: z.id}
 	}
-	return &view.View{Config: cluster, Owners: owners, Workers: c.pool.Workers()}
+	workers := slices.DeleteFunc(c.pool.Workers(), func(w model.Worker) bool { return c.unlisted[w.ID] })
+	return &view.View{Config: cluster, Owners: owners, Workers: workers}
 }
 
 func (c *testCluster) zone(id model.AvailabilityZoneID) *testZone {
--- a/internal/zone/exchange.go
+++ b/internal/zone/exchange.go
@@ -279,6 +279,7 @@
 // applyClaim processes the response to a claim, which reports all tasks of the worker.
 func (r *Runner) applyClaim(w *workerState, response worker.Response, now time.Time) {
 	w.machine.Fire("claim")
+	delete(r.recorder.workers.unclaimed, w.info.ID)
 	w.lastSequence = response.Sequence
 	r.checkRestart(w, response.Incarnation, now)
 	w.incarnation = response.Incarnation
--- a/internal/zone/load.go
+++ b/internal/zone/load.go
@@ -12,7 +12,7 @@
 )
 
 // applyEpoch checks the value of the epoch key and keeps its revision, on which every
-// write is conditional.
+// write is conditional. It also reads the workers of the earlier owners.
 func (r *Runner) applyEpoch(result store.TxnResult, now time.Time) {
 	epochKey := result.Gets[0]
 	if epochKey == nil || !r.isOwnEpoch(epochKey.Value) {
@@ -21,6 +21,7 @@
 	}
 	r.recorder.epochRevision = epochKey.ModRevision
 	r.recorder.retryAt = now
+	r.applyRecordedWorkers(result.Gets[1], now)
 }
 
 // applyPage loads one page of the zone's records.
--- a/internal/zone/recorder.go
+++ b/internal/zone/recorder.go
@@ -8,6 +8,7 @@
 
 	"github.com/chervilrun/chervilrun/internal/event"
 	"github.com/chervilrun/chervilrun/internal/job"
+	"github.com/chervilrun/chervilrun/internal/model"
 	"github.com/chervilrun/chervilrun/internal/outcome"
 	"github.com/chervilrun/chervilrun/internal/store"
 )
@@ -22,6 +23,7 @@
 	CallLoad     CallKind = "load"
 	CallWrite    CallKind = "write"
 	CallReadBack CallKind = "read_back"
+	CallWorkers  CallKind = "workers"
 )
 
 // StoreCall is one call to the store: a transaction, or a range read if Txn is nil.
@@ -31,7 +33,8 @@
 	From, To string
 	Limit    int
 
-	batch *batch
+	batch   *batch
+	workers []model.WorkerID
 }
 
 // StoreResult is the result of a StoreCall.
@@ -70,6 +73,7 @@
 	epochRevision store.Revision // of the zone's epoch key; 0 before it is read
 	cursor        string         // first key of the next page of records; empty for the first page
 	nextRescanAt  time.Time
+	workers       recordedWorkers
 
 	dirty       []*jobState
 	flushAt     time.Time // when dirty is to be written; zero if it is empty
@@ -104,7 +108,7 @@
 	switch {
 	case c.inFlight != nil:
 		return c.nextRescanAt.Add(time.Hour)
-	case !c.loaded || c.unconfirmed != nil:
+	case !c.loaded || c.unconfirmed != nil || c.workers.isDue():
 		return c.retryAt
 	case len(c.dirty) > 0:
 		return latest(c.flushAt, c.retryAt)
@@ -129,12 +133,14 @@
 	c := &r.recorder
 	switch {
 	case c.epochRevision == 0:
-		key := store.EpochKey(r.Zone)
-		return &StoreCall{Kind: CallEpoch, Txn: &store.Txn{Then: []store.Op{{Get: key}}}}
+		gets := []store.Op{{Get: store.EpochKey(r.Zone)}, {Get: store.ZoneWorkersKey(r.Zone)}}
+		return &StoreCall{Kind: CallEpoch, Txn: &store.Txn{Then: gets}}
 	case !c.loaded:
 		return r.loadCall()
 	case c.unconfirmed != nil:
 		return r.readBackCall(c.unconfirmed)
+	case c.workers.isDue():
+		return r.recordWorkersCall()
 	case len(c.dirty) > 0:
 		return r.writeCall()
 	}
@@ -250,6 +256,8 @@
 	case CallReadBack:
 		c.unconfirmed = nil
 		r.resolveBatch(call.batch, result.Txn.Gets, now)
+	case CallWorkers:
+		r.workersWritten(call, result.Txn)
 	}
 	r.unpark(now)
 }
--- a/internal/zone/runner.go
+++ b/internal/zone/runner.go
@@ -134,6 +134,7 @@
 		return Effects{}
 	}
 	r.checkWorkers(now)
+	r.dropEarlierWorkers(now)
 	r.reconcileDiscovered(now)
 	r.advanceGangs(now)
 	r.reconcileJobs(now)
--- a/internal/zone/workers.go
+++ b/internal/zone/workers.go
@@ -121,6 +121,9 @@
 		r.orderedWorkers = append(r.orderedWorkers, w)
 	}
 	r.retainUnlisted()
+	if r.recorder.epochRevision != 0 {
+		r.updateWantedWorkers(now)
+	}
 	r.Engine.SetWorkers(zoneWorkers, now)
 	for _, w := range r.orderedWorkers {
 		r.Engine.SetUsable(w.info.ID, w.isUsable, now)
@@ -162,7 +165,7 @@
 }
 
 func (r *Runner) setUsable(w *workerState, now time.Time) {
-	usable := w.isListed && w.isClaimed() && !w.isUnresponsive && w.untrackedTasks == 0 && !r.hasDiscoveredOn(w)
+	usable := w.isListed && w.isClaimed() && r.recorder.workers.has(w.info.ID) && !w.isUnresponsive && w.untrackedTasks == 0 && !r.hasDiscoveredOn(w)
 	if usable != w.isUsable {
 		w.isUsable = usable
 		r.Engine.SetUsable(w.info.ID, usable, now)
@@ -181,13 +184,15 @@
 }
 
 // isPoolReconciled reports whether no unreported task of an earlier owner can be running:
-// every worker has reported all of its tasks to this epoch, or the longest lease that an
-// earlier owner can have given has expired.
+// every worker that it used has reported all of its tasks to this epoch, whether the platform
+// lists it or not, or the longest lease that an earlier owner can have given has expired.
 func (r *Runner) isPoolReconciled(now time.Time) bool {
-	longestLease := r.Timing.HandoverLease + r.Timing.ExchangeTimeout + r.Timing.LeaseMargin
-	if now.Sub(r.ownedSince) >= longestLease {
+	if r.areEarlierLeasesOver(now) {
 		return true
 	}
+	if used := &r.recorder.workers; !used.isComplete || len(used.unclaimed) > 0 {
+		return false
+	}
 	for _, w := range r.orderedWorkers {
 		if w.machine.State() == workerUnclaimed {
 			return false
@@ -196,6 +201,12 @@
 	return len(r.orderedWorkers) > 0
 }
 
+// areEarlierLeasesOver reports whether every lease that an earlier owner can have given has expired.
+func (r *Runner) areEarlierLeasesOver(now time.Time) bool {
+	longestLease := r.Timing.HandoverLease + r.Timing.ExchangeTimeout + r.Timing.LeaseMargin
+	return now.Sub(r.ownedSince) >= longestLease
+}
+
 func (r *Runner) throttle(a scheduler.ThrottleTask) {
 	w := r.workers[a.Worker]
 	if w == nil {
