A move whose write takes effect late runs in one zone only

Callers saw a job run in two zones after a zone was taken out, also one that may not be repeated.

Cause: when the answer to the write of a move was lost, the owner read the record back. A record that had not changed yet was taken for a move that failed: the job was queued and started in the old zone, although the write could still take effect. Once it had, the owner replaced the forwarding record with its own, and both zones had the job.

Change: after a move that seems to have failed, the job is queued once its record has been written again. This write and the one of the move are on condition of the same revision, so one of them fails for good. If the forwarding record is found, the move took effect. A read that shows the old revision settles nothing. A cancellation meanwhile is refused as during a move.

--- a/internal/zone/jobs.go
+++ b/internal/zone/jobs.go
@@ -34,6 +34,9 @@
 	// earliest time of the next move after a failed one.
 	moveTo     model.AvailabilityZoneID
 	nextMoveAt time.Time
+	// moveUnsettled is true after a failed move until the record has been written again in this
+	// zone. Until then the write of the move may still take effect.
+	moveUnsettled bool
 	// movedAway is true once the job was moved to another zone. The forwarding record
 	// that remains names that zone to callers.
 	movedAway bool
@@ -219,8 +222,8 @@
 	if j == nil || j.movedAway || (organisation != "" && j.record.Spec.Organisation != organisation) {
 		return false
 	}
-	if j.moveTo != "" {
-		refusal := outcome.NotRunBecause(outcome.ReasonConflict, "the job is being moved to zone %s; cancel it again", j.moveTo)
+	if j.moveTo != "" || j.moveUnsettled {
+		refusal := outcome.NotRunBecause(outcome.ReasonConflict, "the job is being moved to another zone; cancel it again")
 		done(refusal, j.record)
 		return true
 	}
--- a/internal/zone/move.go
+++ b/internal/zone/move.go
@@ -10,6 +10,7 @@
 	"github.com/chervilrun/chervilrun/internal/job"
 	"github.com/chervilrun/chervilrun/internal/model"
 	"github.com/chervilrun/chervilrun/internal/outcome"
+	"github.com/chervilrun/chervilrun/internal/store"
 )
 
 // evacuate stops the gangs that may be stopped in a zone that is out of service, and
@@ -35,7 +36,7 @@
 
 // moveJob begins to move the record of a waiting job.
 func (r *Runner) moveJob(j *jobState, now time.Time) {
-	isWaiting := j.record.State == job.Queued && j.gang == nil && !j.needsReconciliation && !j.movedAway && j.storedVersion > 0
+	isWaiting := j.record.State == job.Queued && j.gang == nil && !j.needsReconciliation && !j.movedAway && !j.moveUnsettled && j.storedVersion > 0
 	if !isWaiting || now.Before(j.nextMoveAt) || j.moveTo != "" || !r.recorder.isStoreUp {
 		return
 	}
@@ -121,13 +122,40 @@
 // moveRetryDelay is the time before a failed move is tried again.
 const moveRetryDelay = 30 * time.Second
 
-// moveFailed queues a job in this zone again after its record could not be moved.
+// moveFailed keeps a job in this zone after its record could not be moved, as far as is known. The
+// job is queued once its record has been written again, which the write of the move then conflicts
+// with if it is still under way.
 func (r *Runner) moveFailed(j *jobState, now time.Time) {
 	j.moveTo = ""
 	j.nextMoveAt = now.Add(moveRetryDelay)
+	j.moveUnsettled = true
+}
+
+// moveSettled is called when the record of a job is in this zone after a failed move.
+func (r *Runner) moveSettled(j *jobState, now time.Time) {
+	j.moveUnsettled = false
 	r.enqueue(j, now)
 }
 
+// movedLate handles a move that has taken effect although it seemed to have failed.
+func (r *Runner) movedLate(j *jobState, to model.AvailabilityZoneID, revision store.Revision, now time.Time) {
+	j.moveUnsettled = false
+	j.modRevision = revision
+	j.storedVersion = j.version
+	j.moveTo = to
+	r.jobMoved(j, now)
+}
+
+// forwardedTo returns the zone that a stored record of this zone forwards to, or "" if it is not a
+// forwarding record.
+func (r *Runner) forwardedTo(value []byte) model.AvailabilityZoneID {
+	record, err := job.Decode(value)
+	if err != nil || record.Zone == r.Zone {
+		return "" // an unreadable record is not one that this owner has written
+	}
+	return record.Zone
+}
+
 // jobMoved is called once the record is in the other zone.
 func (r *Runner) jobMoved(j *jobState, now time.Time) {
 	r.notices = append(r.notices, Notice{Zone: j.moveTo, Spec: j.record.Spec})
--- a/internal/zone/recorder.go
+++ b/internal/zone/recorder.go
@@ -347,8 +347,11 @@
 		return
 	}
 	r.notifyWaiters(j)
-	if isNew {
+	switch {
+	case isNew:
 		r.jobAccepted(j, now)
+	case j.moveUnsettled:
+		r.moveSettled(j, now)
 	}
 }
 
@@ -384,7 +387,9 @@
 	case e.remove:
 		j.expired = false
 		r.recorder.nextRescanAt = now // the job was moved back to this zone
-	case stored != nil && bytes.Equal(stored.Value, e.value):
+	case stored != nil && j.moveUnsettled && r.forwardedTo(stored.Value) != "":
+		r.movedLate(j, r.forwardedTo(stored.Value), stored.ModRevision, now)
+	case stored != nil && bytes.Equal(stored.Value, e.value) && !isUnchanged(j, stored):
 		r.entryDurable(e, stored.ModRevision, now)
 	case stored != nil && j.storedVersion == 0 && !isOwnRecord(stored.Value, j):
 		r.replaceWithStored(j, stored, now)
@@ -401,6 +406,12 @@
 	}
 }
 
+// isUnchanged reports whether the record of a job whose move failed has not been written since, so
+// that the write of the move may still take effect.
+func isUnchanged(j *jobState, stored *store.KeyValue) bool {
+	return j.moveUnsettled && stored.ModRevision == j.modRevision
+}
+
 // isOwnRecord reports whether a stored record is an earlier write of the same job state.
 func isOwnRecord(value []byte, j *jobState) bool {
 	record, err := job.Decode(value)
