--- a/internal/zone/random_test.go
+++ b/internal/zone/random_test.go
@@ -48,7 +48,7 @@
 
 func (r *randomRun) randomAction() {
 	z := r.randomZone()
-	switch rapid.IntRange(0, 16).Draw(r.rt, "action") {
+	switch rapid.IntRange(0, 17).Draw(r.rt, "action") {
 	case 0, 1, 2, 3:
 		for range rapid.IntRange(1, 6).Draw(r.rt, "burst") {
 			r.submit()
@@ -76,6 +76,8 @@
 		r.setOutOfService(z, !z.out)
 	case 16:
 		z.owner.missesUpdates = !z.owner.missesUpdates
+	case 17:
+		r.unlist(r.randomWorker())
 	}
 }
 
@@ -98,10 +100,18 @@
 	r.schedule(heal, func() { r.pool.SetFaults(id, pool.Faults{}) })
 }
 
+// unlist removes a worker from the platform's list for a while.
+func (r *randomRun) unlist(id model.WorkerID) {
+	r.unlisted[id] = true
+	relist := time.Duration(rapid.IntRange(100, 30_000).Draw(r.rt, "relist_ms")) * time.Millisecond
+	r.schedule(relist, func() { delete(r.unlisted, id) })
+}
+
 func (r *randomRun) healAll() {
 	r.storeDown = false
 	r.writesToLose, r.writesToDelay = 0, 0
 	r.storeLatency = 0
+	clear(r.unlisted)
 	for _, z := range r.zones {
 		r.setOutOfService(z, false)
 		z.owner.missesUpdates = false
