A new owner waits for the leases that the earlier one gives after it

Callers would see a job run twice for up to 3 s, 32 s after a change of the zone's owner: if the earlier owner, on a view that was confirmed right before the takeover, extends leases for a planned handover, on a worker that the next owner can't reach.

Cause: the wait for earlier leases started with the takeover. The earlier owner may act for view.MaxConfirmationAge longer (docs/design/040), and workers that the next owner hasn't claimed obey. For gangs that are found running, the call of a lease was left out in the same way, and the margin for clocks made up for it.

Change: the wait is 3 s of the view, 1 s of a call, 30 s of the lease and 1 s of margin; one function gives the time from a call to the end of its lease.

--- a/internal/zone/owner_test.go
+++ b/internal/zone/owner_test.go
@@ -33,6 +33,7 @@
 	calls             map[zone.CallKind]int
 	paused            bool
 	missesUpdates     bool // receives no updates of the view
+	cutOff            map[model.WorkerID]bool
 	deferred          []func()
 	wakeAt            time.Time
 }
@@ -146,6 +147,12 @@
 		o.runner.ExchangeDone(call, worker.Response{}, worker.ErrUnreachable, c.now())
 		return
 	}
+	if o.cutOff[call.Worker] {
+		c.schedule(call.Deadline.Sub(c.now()), func() {
+			o.execute(func() { o.runner.ExchangeDone(call, worker.Response{}, worker.ErrResponseLost, c.now()) })
+		})
+		return
+	}
 	c.schedule(c.latency(), func() {
 		before := len(c.pool.History())
 		response, err := c.pool.Exchange(context.Background(), call.Endpoint, call.Exchange)
--- a/internal/zone/takeover.go
+++ b/internal/zone/takeover.go
@@ -168,8 +168,7 @@
 	for _, index := range d.indexes() {
 		dt := d.tasks[index]
 		t := &task{gang: g, index: index, id: dt.report.Task, worker: dt.worker, machine: taskChart.New()}
-		longestLease := max(r.Timing.HandoverLease, r.Timing.RunLease)
-		t.leaseExpiresBy = now.Add(longestLease)
+		t.leaseExpiresBy = now.Add(r.longestLease())
 		t.applyReport(dt.report)
 		g.tasks = append(g.tasks, t)
 		if !t.ended() {
--- a/internal/zone/workers.go
+++ b/internal/zone/workers.go
@@ -9,6 +9,7 @@
 	"github.com/chervilrun/chervilrun/internal/model"
 	"github.com/chervilrun/chervilrun/internal/outcome"
 	"github.com/chervilrun/chervilrun/internal/scheduler"
+	"github.com/chervilrun/chervilrun/internal/view"
 	"github.com/chervilrun/chervilrun/internal/worker"
 )
 
@@ -202,9 +203,14 @@
 }
 
 // areEarlierLeasesOver reports whether every lease that an earlier owner can have given has expired.
+// That owner may act until the confirmation of its view is too old.
 func (r *Runner) areEarlierLeasesOver(now time.Time) bool {
-	longestLease := r.Timing.HandoverLease + r.Timing.ExchangeTimeout + r.Timing.LeaseMargin
-	return now.Sub(r.ownedSince) >= longestLease
+	return now.Sub(r.ownedSince) >= view.MaxConfirmationAge+r.longestLease()+r.Timing.LeaseMargin
+}
+
+// longestLease is the time from a call until the longest lease that it can give has expired.
+func (r *Runner) longestLease() time.Duration {
+	return r.Timing.ExchangeTimeout + max(r.Timing.HandoverLease, r.Timing.RunLease)
 }
 
 func (r *Runner) throttle(a scheduler.ThrottleTask) {
