An owner keeps the workers whose tasks it may adopt

Operators would see the scheduler crash (nil pointer in adopt) during a takeover, when a worker that had reported a finished task of a running gang went off the platform's list before the gang was adopted.

Cause: a worker that is not listed was dropped unless tasks run on it. A missing entry does not end what the worker has reported; the gang still needs it.

Change: workers of discovered gangs are kept until the gang is adopted or stopped.

Test: TestWorkerOfADiscoveredGangIsKept panicked before.

--- a/internal/zone/takeover.go
+++ b/internal/zone/takeover.go
@@ -91,9 +91,18 @@
 
 // hasDiscoveredOn reports whether a task of a discovered gang runs on w.
 func (r *Runner) hasDiscoveredOn(w *workerState) bool {
+	return r.anyDiscoveredOn(w, func(dt *discoveredTask) bool { return dt.report.State == worker.TaskRunning })
+}
+
+// isDiscoveredOn reports whether a task of a discovered gang runs on w or has run there.
+func (r *Runner) isDiscoveredOn(w *workerState) bool {
+	return r.anyDiscoveredOn(w, func(*discoveredTask) bool { return true })
+}
+
+func (r *Runner) anyDiscoveredOn(w *workerState, matches func(*discoveredTask) bool) bool {
 	for _, d := range r.discovered {
 		for _, dt := range d.tasks {
-			if dt.worker == w && dt.report.State == worker.TaskRunning {
+			if dt.worker == w && matches(dt) {
 				return true
 			}
 		}
--- a/internal/zone/unlisted_test.go
+++ b/internal/zone/unlisted_test.go
@@ -73,3 +73,27 @@
 		require.False(t, run.Job == "a" && run.End.After(record.Ended), "the job counted as ended at %s, and a task ran until %s", record.Ended, run.End)
 	}
 }
+
+// Guards against a worker that is dropped when it is unlisted at a takeover, although its task of an
+// earlier owner's gang has been reported: the owner crashed when it adopted the gang.
+func TestWorkerOfADiscoveredGangIsKept(t *testing.T) {
+	c := newTestCluster(t, 64, 4)
+	z := c.zones[0]
+	c.run(time.Second)
+	s := spec("a", 2, 8*time.Second)
+	s.Shape.PerTask.Accelerators = 8
+	c.submitTo(z, s)
+	require.True(t, c.runUntil(5*time.Second, c.allRunning("a", 2)))
+	c.run(6 * time.Second)
+	c.kill(z)
+	c.run(ownerTTL - 500*time.Millisecond) // the tasks have finished, and nobody has heard of it
+	reported, unreachable := c.workerOf("a", 0), c.workerOf("a", 1)
+	c.pool.SetFaults(unreachable, pool.Faults{Partitioned: true})
+	c.run(time.Second)
+	c.unlisted[reported] = true
+	c.run(2 * time.Second)
+	c.pool.SetFaults(unreachable, pool.Faults{})
+	c.requireDone(t, "a")
+	require.Equal(t, 2, c.pool.Audit().Starts)
+	c.requireInvariants()
+}
--- a/internal/zone/workers.go
+++ b/internal/zone/workers.go
@@ -131,14 +131,14 @@
 	}
 }
 
-// retainUnlisted keeps the workers that are no longer listed but still have tasks, and
-// removes the others that are not listed.
+// retainUnlisted keeps the workers that are no longer listed but still have tasks, or tasks of
+// discovered gangs that may be adopted, and removes the others that are not listed.
 func (r *Runner) retainUnlisted() {
 	var kept []*workerState
 	for id, w := range r.workers {
 		switch {
 		case w.isListed:
-		case len(w.tasks) == 0 && w.inFlight == nil && !r.hasDiscoveredOn(w):
+		case len(w.tasks) == 0 && w.inFlight == nil && !r.isDiscoveredOn(w):
 			w.machine.Fire("leave")
 			delete(r.workers, id)
 		default:
