A refusal of a job is unknown while an earlier call may have been accepted

Callers got `not_run` for a job that was accepted and ran: when the answer to a first call to the owner was lost and a later one was refused (over_quota, deadline), and when a submission with a key was sent again while the owner refused or could not be reached, although the first call had ended as unknown.

Cause: a refusal of one call was taken for the fate of the submission. Some reasons were passed on at once, and a repeated submission forgot that its key's record was pending, which means that an earlier call may have been accepted.

Change: once a call of a submission had no result, also one by another host with the same key, only an acceptance or a refusal that depends on the job alone (malformed) ends it; otherwise it is unknown and keeps its key's record.

Tests: TestRefusalAfterALostResponseIsUnknown, TestRefusalOfAKeyInProgressIsUnknown; both failed before.

--- a/internal/entry/jobs_test.go
+++ b/internal/entry/jobs_test.go
@@ -31,6 +31,7 @@
 	jobs            map[string]job.Record
 	refusalReason   outcome.Reason
 	responsesToLose int
+	reasonAfterLoss outcome.Reason // refusalReason after a lost response, if not empty
 	free            int32
 	changed         chan struct{}
 }
@@ -56,6 +57,7 @@
 	}
 	if f.responsesToLose > 0 {
 		f.responsesToLose--
+		f.refusalReason = f.reasonAfterLoss
 		return nil, twirp.InternalError("the response is lost")
 	}
 	return &rpc.SubmitJobResponse{Outcome: &rpc.Outcome{Kind: string(outcome.Accepted)}, JobJson: record.Encode()}, nil
@@ -245,3 +247,37 @@
 	}
 	require.Zero(t, owners["kumamoto"].count()+owners["fukuoka"].count())
 }
+
+// Guards against a refusal that says "not run" after an earlier call of the same submission, which may
+// be accepted later: that call had no answer, and the owner refuses the next one.
+func TestRefusalAfterALostResponseIsUnknown(t *testing.T) {
+	for _, reason := range []outcome.Reason{outcome.ReasonOverQuota, outcome.ReasonDeadline, outcome.ReasonStaleView} {
+		b, owners := newJobTestbed(t)
+		owner := owners["kumamoto"]
+		owner.responsesToLose, owner.reasonAfterLoss = 1, reason
+		_, err := b.client(0).SubmitJob(context.Background(), jobRequest(8), "")
+		requireOutcome(t, err, client.Unknown, "answer_lost")
+		require.Equal(t, 1, owner.count())
+	}
+}
+
+// Guards against a refusal that says "not run" of a job that an earlier call with the same key may have
+// submitted: the owner can't be reached now.
+func TestRefusalOfAKeyInProgressIsUnknown(t *testing.T) {
+	b, owners := newJobTestbed(t)
+	owner := owners["kumamoto"]
+	owner.responsesToLose = maxOwnerAttempts
+	_, err := b.client(0).SubmitJob(context.Background(), jobRequest(8), "nightly-1")
+	requireOutcome(t, err, client.Unknown, "answer_lost")
+	require.Equal(t, 1, owner.count())
+
+	owner.mu.Lock()
+	owner.refusalReason = outcome.ReasonZoneOut
+	owner.mu.Unlock()
+	_, err = b.client(1).SubmitJob(context.Background(), jobRequest(8), "nightly-1")
+	requireOutcome(t, err, client.Unknown, "answer_lost")
+
+	delete(b.view.Owners, "kumamoto")
+	_, err = b.client(1).SubmitJob(context.Background(), jobRequest(8), "nightly-1")
+	requireOutcome(t, err, client.Unknown, "answer_lost")
+}
--- a/internal/entry/owners.go
+++ b/internal/entry/owners.go
@@ -33,7 +33,7 @@
 	result := s.noZoneOutcome(spec)
 	for _, zone := range s.candidates(spec) {
 		var record job.Record
-		record, result = s.submitToZone(ctx, zone, spec)
+		record, result = s.submitToZone(ctx, zone, spec, false)
 		if result.Kind != outcome.NotRun || !mayTryAnotherZone(result.Reason) {
 			return record, result
 		}
@@ -65,6 +65,10 @@
 	return true
 }
 
+// refusesEveryCall reports whether a refusal for reason depends on the job alone, so that it
+// applies to earlier calls as well.
+func refusesEveryCall(reason outcome.Reason) bool { return reason == outcome.ReasonMalformed }
+
 // submitOnce submits a job with an idempotency key. The zone is stored in the key's
 // record before the job is submitted to it, so that a repeated submission goes to the
 // same owner.
@@ -86,7 +90,7 @@
 			return s.resubmit(ctx, spec, existing, fingerprint)
 		}
 		var record job.Record
-		record, result = s.submitToZone(ctx, zone, spec)
+		record, result = s.submitToZone(ctx, zone, spec, false)
 		if result.Kind == outcome.Unknown {
 			// The record stays pending: a repeated submission goes to the same zone.
 			return record, result
@@ -106,7 +110,7 @@
 		return job.Record{}, outcome.NotRunBecause(outcome.ReasonKeyReused, "the key was used for another job")
 	}
 	if existing.State == once.Pending {
-		return s.submitToZone(ctx, model.AvailabilityZoneID(existing.Note), spec)
+		return s.submitToZone(ctx, model.AvailabilityZoneID(existing.Note), spec, true)
 	}
 	record, result := s.findJob(ctx, s.options.Source.Current(), jobQuery{id: string(spec.ID), organisation: spec.Organisation})
 	if result.Kind == outcome.NotRun && result.Reason == outcome.ReasonNotFound {
@@ -119,13 +123,13 @@
 }
 
 // submitToZone submits a job to the owner of a zone. The call is idempotent by the job's
-// ID, so it is repeated after a lost response.
-func (s *Server) submitToZone(ctx context.Context, zone model.AvailabilityZoneID, spec model.JobSpec) (job.Record, outcome.Outcome) {
+// ID, so it is repeated after a lost response. mayBeAccepted says that an earlier call of the
+// same submission had no result, so that the job may have been accepted or may still be.
+func (s *Server) submitToZone(ctx context.Context, zone model.AvailabilityZoneID, spec model.JobSpec, mayBeAccepted bool) (job.Record, outcome.Outcome) {
 	specJSON, err := json.Marshal(spec)
 	if err != nil {
 		return job.Record{}, outcome.NotRunBecause(outcome.ReasonMalformed, "the job can't be encoded: %v", err)
 	}
-	mayBeAccepted := false
 	for attempt := range maxOwnerAttempts {
 		if attempt > 0 && !s.sleep(ctx, ownerRetryDelay) {
 			break
@@ -140,7 +144,7 @@
 			continue
 		}
 		result := outcomeOf(response.GetOutcome())
-		if result.Kind == outcome.NotRun && mayBeAccepted && mayTryAnotherZone(result.Reason) {
+		if result.Kind == outcome.NotRun && mayBeAccepted && !refusesEveryCall(result.Reason) {
 			// This refusal does not rule out that an earlier call was accepted.
 			continue
 		}
