A job counts as not found only once its zone's records are read

Callers were told `not_found` (404, not_run) for an accepted job, also when they cancelled it, while a new owner had not read the zone's records, or after a move while the other zone's owner had not read it yet.

Cause: a job that the owner does not have in memory was taken for one that does not exist.

Change: the owner answers "unavailable" unless it has read all records and has not forwarded the job; the entry host then reports `unknown` (no_owner), as when a zone has no owner.

Test: TestJobIsNotMissingBeforeTheRecordsAreRead failed before.

--- a/internal/schedulerd/schedulerd_test.go
+++ b/internal/schedulerd/schedulerd_test.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
+	"github.com/twitchtv/twirp"
 
 	"github.com/chervilrun/chervilrun/internal/config"
 	"github.com/chervilrun/chervilrun/internal/event"
@@ -165,6 +166,29 @@
 	require.Zero(t, audit.PartialGangs+audit.DoubleRuns+audit.RepeatedStarts)
 }
 
+// Guards against an accepted job that counts as not found while its owner has not read it yet.
+func TestJobIsNotMissingBeforeTheRecordsAreRead(t *testing.T) {
+	first := newHost(t, nil)
+	first.takeZone(t, "1")
+	submit(t, first, "a", `{"run_ms":2000}`)
+	require.NoError(t, first.service.Release(context.Background(), "fukuoka"))
+	second := newHost(t, first)
+	first.store.SetFaults(memory.Faults{Down: true})
+	second.service.Take("fukuoka", 2)
+	_, err := second.client.GetJob(context.Background(), &rpc.GetJobRequest{Job: "a", Organisation: "chikushi"})
+	requireUnavailable(t, err)
+	_, err = second.client.CancelJob(context.Background(), &rpc.CancelJobRequest{Job: "a", Organisation: "chikushi"})
+	requireUnavailable(t, err)
+	second.service.Lose("fukuoka", 2)
+}
+
+func requireUnavailable(t *testing.T, err error) {
+	t.Helper()
+	var failed twirp.Error
+	require.ErrorAs(t, err, &failed)
+	require.Equal(t, twirp.Unavailable, failed.Code())
+}
+
 // TestHandOverOverTheWire releases a zone with a running gang: the next owner adopts the
 // gang instead of starting it again.
 func TestHandOverOverTheWire(t *testing.T) {
--- a/internal/schedulerd/server.go
+++ b/internal/schedulerd/server.go
@@ -58,6 +58,7 @@
 		known = 0
 	}
 	id := model.JobID(request.GetJob())
+	absent := true
 	for _, zoneID := range s.Zones() {
 		z := s.findZone(zoneID)
 		if z == nil {
@@ -67,10 +68,19 @@
 		if found && belongsTo(record, request.GetOrganisation()) {
 			return &rpc.GetJobResponse{Found: true, JobJson: record.Encode()}, nil
 		}
+		absent = absent && (found || z.loop.IsAbsent(id))
+	}
+	if !absent {
+		return nil, errMayExist()
 	}
 	return &rpc.GetJobResponse{}, nil
 }
 
+// errMayExist is the error of a call for a job that was not found and may exist nevertheless.
+func errMayExist() error {
+	return twirp.NewError(twirp.Unavailable, "the job is not known here, and not all records have been read yet")
+}
+
 func belongsTo(record job.Record, organisation string) bool {
 	return organisation == "" || string(record.Spec.Organisation) == organisation
 }
@@ -79,6 +89,7 @@
 func (s *Service) CancelJob(ctx context.Context, request *rpc.CancelJobRequest) (*rpc.CancelJobResponse, error) {
 	id := model.JobID(request.GetJob())
 	organisation := model.OrganisationID(request.GetOrganisation())
+	absent := true
 	for _, zoneID := range s.Zones() {
 		z := s.findZone(zoneID)
 		if z == nil {
@@ -88,6 +99,10 @@
 		if found {
 			return &rpc.CancelJobResponse{Found: true, Outcome: toRPC(result), JobJson: record.Encode()}, nil
 		}
+		absent = absent && z.loop.IsAbsent(id)
+	}
+	if !absent {
+		return nil, errMayExist()
 	}
 	return &rpc.CancelJobResponse{}, nil
 }
--- a/internal/zone/jobs.go
+++ b/internal/zone/jobs.go
@@ -291,6 +291,13 @@
 	return j.record, true
 }
 
+// IsAbsent reports whether the zone certainly has no job that Lookup does not find: all records have
+// been read, and the job was not moved to a zone whose owner may not have read it yet.
+func (r *Runner) IsAbsent(id model.JobID) bool {
+	j := r.jobs[id]
+	return r.recorder.loaded && (j == nil || !j.movedAway)
+}
+
 // Limits on the JobDeferred events.
 const (
 	explainInterval        = time.Second
--- a/internal/zone/loop.go
+++ b/internal/zone/loop.go
@@ -241,6 +241,13 @@
 	}
 }
 
+// IsAbsent reports whether the zone certainly has no job that Get does not find.
+func (l *Loop) IsAbsent(id model.JobID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runner.IsAbsent(id)
+}
+
 // Explain returns the reason why a job waits, or "" if it does not wait.
 func (l *Loop) Explain(id model.JobID) string {
 	l.mu.Lock()
