Reclaim sees that gangs which are stopping already cost nothing

An organisation's borrowers lost a gang for a guarantee although another gang, whose beneficiary had been cancelled, was stopping and freed the shape anyway.

Cause: candidates are passed over when their estimated cost exceeds the best plan, and the estimate, meant as a lower bound, counted the accelerators of stopping gangs as restarts; their cost is 0.

Change: the estimate leaves these accelerators out.

Test: TestReclaimWaitsForGangsThatAreStopping failed before (it stopped "small").

--- a/internal/scheduler/engine_test.go
+++ b/internal/scheduler/engine_test.go
@@ -112,6 +112,37 @@
 	require.True(t, evicted[0].Checkpoint)
 }
 
+// Guards against a gang that is stopped although another one, which is stopping already, frees the
+// guarantee's shape at no cost.
+func TestReclaimWaitsForGangsThatAreStopping(t *testing.T) {
+	orgs := []model.Organisation{
+		{ID: "owner", Weight: 1, Guarantees: []model.Guarantee{{Name: "g", Shape: shape(8, 1, model.AdjacencyWorker), Count: 1}}},
+		{ID: "borrower", Weight: 1},
+	}
+	e := newTestEngine(1, 2, orgs)
+	e.Enqueue(normalJob("large", "borrower", shape(8, 1, model.AdjacencyWorker)), epoch, epoch)
+	e.Enqueue(normalJob("small", "borrower", shape(1, 1, model.AdjacencyWorker)), epoch, epoch)
+	var other model.WorkerID
+	for _, s := range starts(e.Decide(epoch)) {
+		e.Started(s.Job, epoch)
+		if s.Job == "small" {
+			other = s.Placement[0]
+		}
+	}
+	first := normalJob("first", "owner", shape(8, 1, model.AdjacencyWorker))
+	e.SetUsable(other, false, epoch)
+	evicted := stops(enqueueAndDecide(e, first, epoch))
+	require.Len(t, evicted, 1)
+	require.Equal(t, model.JobID("large"), evicted[0].Job)
+	require.True(t, e.Cancel(first.ID))
+	e.SetUsable(other, true, epoch)
+
+	second := normalJob("second", "owner", shape(8, 1, model.AdjacencyWorker))
+	require.Empty(t, stops(enqueueAndDecide(e, second, epoch)))
+	e.Stopped("large", StoppedPreempted, false, nil, epoch)
+	require.Len(t, starts(e.Decide(epoch)), 1)
+}
+
 func TestNonPreemptibleJobsStayOffGuarantees(t *testing.T) {
 	orgs := []model.Organisation{
 		{ID: "owner", Weight: 1, Guarantees: []model.Guarantee{{Name: "g", Shape: shape(8, 1, model.AdjacencyWorker), Count: 2}}},
--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -54,14 +54,14 @@
 }
 
 // estimateEvictionCost estimates the cost of freeing a candidate: each accelerator that
-// is lent out there counts as a restart. The cost is at least that, except where the
-// accelerators belong to gangs that are already being stopped, which cost nothing. For the
-// baseline policies the estimate is 0.
+// is lent out there counts as a restart, unless its gang is already being stopped, which
+// costs nothing. The cost is at least that. For the baseline policies the estimate is 0.
 func (e *ZoneEngine) estimateEvictionCost(c feasible.Candidate, perTask model.Resources) float64 {
 	lent := 0
 	for _, part := range c {
 		need := perTask.Accelerators * part.Tasks
-		lent += max(0, need-e.pool.Workers[part.Site].Free().Accelerators)
+		w := e.pool.Workers[part.Site]
+		lent += max(0, need-w.Free().Accelerators-stoppingAccelerators(w))
 	}
 	if !e.features.cheapestVictim {
 		return 0
@@ -69,6 +69,22 @@
 	return restartSeconds * float64(lent)
 }
 
+// stoppingAccelerators returns the accelerators of a worker that become free without cost.
+func stoppingAccelerators(w *cache.Worker) int {
+	total := 0
+	for _, g := range w.Gangs {
+		if !g.StoppingUnclaimed() {
+			continue
+		}
+		for _, part := range g.Parts {
+			if part.Worker == w {
+				total += g.Shape.PerTask.Accelerators * part.Tasks
+			}
+		}
+	}
+	return total
+}
+
 // considerReclaim computes the cost of freeing resources for the gang within the instance
 // at location, and updates best and lowestCost if it is the cheapest plan so far.
 func (e *ZoneEngine) considerReclaim(g *cache.Gang, inst *cache.GuaranteeInstance, location []cache.Part, best *plan, lowestCost *float64) {
