Exchanges with workers follow no redirects

An exchange that was answered with a redirect counted as not executed if the address that it named refused the connection. Its starts were then taken for never sent (a job that may not be repeated could end as not run, or start again). Workers send no redirects; something else at the address may.

Cause: http.Client follows redirects, and the error of the second connection was taken for that of the first. Package worker/http says that any other failure after the connection was made is a lost response.

Change: redirects are not followed, so a status of 3xx is a lost response like any other status.

Test: TestRedirectIsALostResponse failed before.

--- a/internal/worker/http/http.go
+++ b/internal/worker/http/http.go
@@ -50,14 +50,18 @@
 // context of each exchange sets its timeout.
 func NewClient(userAgent string) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
-	return &Client{userAgent: userAgent, client: &http.Client{Transport: &http.Transport{
+	transport := &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdlePerWorker,
 		MaxConnsPerHost:     maxConnectionsPerWorker,
 		IdleConnTimeout:     idleTimeout,
-	}}}
+	}
+	return &Client{userAgent: userAgent, client: &http.Client{Transport: transport, CheckRedirect: refuseRedirect}}
 }
 
+// refuseRedirect keeps exchanges at the worker that they are meant for.
+func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Exchange implements worker.Port.
 func (c *Client) Exchange(ctx context.Context, endpoint string, exchange worker.Exchange) (worker.Response, error) {
 	body, err := json.Marshal(exchange)
--- a/internal/worker/http/http_test.go
+++ b/internal/worker/http/http_test.go
@@ -64,3 +64,14 @@
 	_, err = workerhttp.NewClient("test").Exchange(ctx, strings.TrimPrefix(silent.URL, "http://"), worker.Exchange{})
 	require.ErrorIs(t, err, worker.ErrResponseLost)
 }
+
+// Guards against a redirect being followed: a connection that is refused there says nothing of the
+// exchange, which something else at the worker's address has received.
+func TestRedirectIsALostResponse(t *testing.T) {
+	closed := httptest.NewServer(http.NotFoundHandler())
+	closed.Close()
+	redirecting := httptest.NewServer(http.RedirectHandler(closed.URL, http.StatusTemporaryRedirect))
+	defer redirecting.Close()
+	_, err := workerhttp.NewClient("test").Exchange(context.Background(), strings.TrimPrefix(redirecting.URL, "http://"), worker.Exchange{})
+	require.ErrorIs(t, err, worker.ErrResponseLost)
+}
