Calls to the store follow no redirects

A write that was answered with a redirect counted as one without effect if the address that it named refused the connection. A claim of a key that may have been written was then not withdrawn, and a new job whose record may exist was refused.

Test: TestRedirectOfAWriteIsALostResponse failed before.

--- a/internal/store/etcd/etcd.go
+++ b/internal/store/etcd/etcd.go
@@ -41,9 +41,13 @@
 func New(urls []string, userAgent string, timeout time.Duration) *Store {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: tcpKeepAlive}
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections}
-	return &Store{urls: urls, userAgent: userAgent, timeout: timeout, client: &http.Client{Transport: transport}}
+	client := &http.Client{Transport: transport, CheckRedirect: refuseRedirect}
+	return &Store{urls: urls, userAgent: userAgent, timeout: timeout, client: client}
 }
 
+// refuseRedirect keeps a failure at another address from being taken for one of the call itself.
+func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // post sends one request and returns the response's body if its status is 200.
 func (s *Store) post(ctx context.Context, path string, request any, write bool) (io.ReadCloser, error) {
 	body, err := json.Marshal(request)
--- a/internal/store/etcd/etcd_test.go
+++ b/internal/store/etcd/etcd_test.go
@@ -156,6 +156,18 @@
 	require.NoError(t, err, "the next URL should be used")
 }
 
+// Guards against a redirect being followed: a connection that is refused there does not show that the
+// write had no effect.
+func TestRedirectOfAWriteIsALostResponse(t *testing.T) {
+	closed := httptest.NewServer(http.NotFoundHandler())
+	closed.Close()
+	redirecting := httptest.NewServer(http.RedirectHandler(closed.URL, http.StatusTemporaryRedirect))
+	defer redirecting.Close()
+	s := etcd.New([]string{redirecting.URL}, "host-1/test", callTimeout)
+	_, err := s.Txn(t.Context(), putIfAbsent("l", "v", 0))
+	require.ErrorIs(t, err, store.ErrResponseLost)
+}
+
 // TestStatusCodes checks that the stand-in returns the status codes and messages of etcd.
 func TestStatusCodes(t *testing.T) {
 	f := newFixture(t)
