Another process at a worker's new endpoint does not end the earlier one

Callers saw a job run twice when the platform's list named another endpoint for a worker whose earlier process lived on, for example cut off from the owner: 3 to 6 s at the same time, with and without a change of the owner.

Cause: a claim that was answered by a later incarnation ended all tasks that it did not report. A worker that restarts at its address has lost its tasks; a process at another address shows nothing about the first one. The next owner, too, counted the worker as claimed by whichever process answered.

Change: tasks on the earlier endpoint are given up and count as running until their leases have ended; they are not adopted, and no crash is counted. The record of workers holds their endpoints, so that the next owner waits for the process that an earlier one used. Restarts at the same endpoint end tasks at once, as before.

--- a/internal/zone/cluster_test.go
+++ b/internal/zone/cluster_test.go
@@ -42,7 +42,9 @@
 	events *eventqueue.Simulation
 
 	// unlisted workers are missing in the platform's list, as when it lags or they are cut off.
-	unlisted          map[model.WorkerID]bool
+	unlisted map[model.WorkerID]bool
+	// endpoints holds the endpoints of workers that the list names at another one than before.
+	endpoints         map[model.WorkerID]string
 	storeDown         bool
 	writesToLose      int // number of next writes that take effect but lose their response
 	writesToDelay     int // number of next writes that take effect late and lose their response
@@ -78,6 +80,7 @@
 		writeDelay:        4 * time.Second,
 		timing:            zone.DefaultTiming(),
 		unlisted:          map[model.WorkerID]bool{},
+		endpoints:         map[model.WorkerID]string{},
 		outcomes:          map[model.JobID]outcome.Outcome{},
 		outOfServiceSince: map[model.AvailabilityZoneID]time.Time{},
 		organisations: []model.Organisation{
@@ -129,6 +132,11 @@
 		owners[z.id] = view.Owner{Zone: z.id}
 	}
 	workers := slices.DeleteFunc(c.pool.Workers(), func(w model.Worker) bool { return c.unlisted[w.ID] })
+	for i, w := range workers {
+		if endpoint, moved := c.endpoints[w.ID]; moved {
+			workers[i].Endpoint = endpoint
+		}
+	}
 	return &view.View{Config: cluster, Owners: owners, Workers: workers}
 }
 
--- a/internal/zone/crash.go
+++ b/internal/zone/crash.go
@@ -25,7 +25,7 @@
 	var found []lostGang
 	seen := map[*gang]bool{}
 	for _, t := range w.tasks {
-		if t.mayHaveStarted && !t.ended() && !seen[t.gang] {
+		if t.mayHaveStarted && !t.ended() && !t.isDetached && !seen[t.gang] {
 			seen[t.gang] = true
 			found = append(found, lostGang{t.gang, max(0, wellAt.Sub(t.gang.placedAt))})
 		}
--- a/internal/zone/exchange.go
+++ b/internal/zone/exchange.go
@@ -8,6 +8,7 @@
 
 	"github.com/chervilrun/chervilrun/internal/event"
 	"github.com/chervilrun/chervilrun/internal/model"
+	"github.com/chervilrun/chervilrun/internal/outcome"
 	"github.com/chervilrun/chervilrun/internal/scheduler"
 	"github.com/chervilrun/chervilrun/internal/view"
 	"github.com/chervilrun/chervilrun/internal/worker"
@@ -99,6 +100,7 @@
 	for _, t := range w.tasks {
 		if !t.isDelivered && t.gang.canSendStart() && !t.ended() {
 			t.machine.Fire("send")
+			t.endpoint = call.Endpoint
 			t.gang.setConfirmDeadline(now.Add(r.Timing.StartTimeout))
 			t.leaseExpiresBy = latest(t.leaseExpiresBy, leaseEnd)
 		}
@@ -116,7 +118,7 @@
 
 func (r *Runner) addStops(w *workerState, e *worker.Exchange, now time.Time) {
 	for _, t := range w.tasks {
-		if t.gang.state() != gangStopping || t.ended() || !t.mayHaveStarted || now.Sub(t.stopSentAt) < stopRetryInterval {
+		if t.gang.state() != gangStopping || t.ended() || t.isDetached || !t.mayHaveStarted || now.Sub(t.stopSentAt) < stopRetryInterval {
 			continue
 		}
 		t.stopSentAt = now
@@ -250,9 +252,10 @@
 	w.throttles = w.throttles[min(len(call.Exchange.Throttles), len(w.throttles)):]
 	w.forget(call.Exchange.Forget)
 	if call.Exchange.Claim {
-		r.applyClaim(w, response, now)
+		r.applyClaim(w, call, response, now)
 		return
 	}
+	w.answeredAt(call.Endpoint)
 	w.machine.Fire("answer")
 	w.lostGangs = nil // it was only silent
 	w.lastSequence = response.Sequence
@@ -277,19 +280,23 @@
 }
 
 // applyClaim processes the response to a claim, which reports all tasks of the worker.
-func (r *Runner) applyClaim(w *workerState, response worker.Response, now time.Time) {
+func (r *Runner) applyClaim(w *workerState, call Call, response worker.Response, now time.Time) {
 	w.machine.Fire("claim")
-	delete(r.recorder.workers.unclaimed, w.info.ID)
+	delete(r.recorder.workers.unclaimed, addressOf(w.info.ID, call.Endpoint))
 	w.lastSequence = response.Sequence
+	if w.incarnation != 0 && w.incarnation != response.Incarnation && w.claimedAt != call.Endpoint {
+		r.detachTasks(w, now)
+	}
 	r.checkRestart(w, response.Incarnation, now)
 	w.incarnation = response.Incarnation
+	w.answeredAt(call.Endpoint)
 	r.Events.Record(event.WorkerClaimed, w.subject(), "")
 	reported := map[model.AttemptID]bool{}
 	for _, report := range response.Reports {
 		reported[report.Attempt] = true
 	}
 	for _, t := range append([]*task(nil), w.tasks...) {
-		if t.mayHaveStarted && !t.ended() && !reported[t.gang.attempt] {
+		if t.mayHaveStarted && !t.ended() && !t.isDetached && !reported[t.gang.attempt] {
 			t.hasRun = true
 			t.machine.Fire("stop") // the worker no longer has it
 		}
@@ -298,6 +305,39 @@
 	r.applyReports(w, response.Reports, now)
 }
 
+// answeredAt records the endpoint at which the claimed incarnation has answered.
+func (w *workerState) answeredAt(endpoint string) {
+	if w.claimedAt == endpoint {
+		return
+	}
+	w.claimedAt = endpoint
+	for _, t := range w.tasks {
+		if t.endpoint != "" && !t.isDetached {
+			t.endpoint = endpoint
+		}
+	}
+}
+
+// detachTasks gives up the tasks of a worker for which another process answers at another endpoint.
+// That does not show that the earlier process has ended.
+func (r *Runner) detachTasks(w *workerState, now time.Time) {
+	w.lostGangs = nil // nothing is known of a crash
+	for _, d := range r.discovered {
+		for _, dt := range d.tasks {
+			dt.isDetached = dt.isDetached || dt.worker == w && dt.report.State == worker.TaskRunning
+		}
+	}
+	tasks := append([]*task(nil), w.tasks...)
+	for _, t := range tasks {
+		t.isDetached = t.isDetached || t.mayHaveStarted && !t.ended()
+	}
+	for _, t := range tasks {
+		if t.isDetached && !t.ended() {
+			r.stopGang(t.gang, stop{cause: stopWorkerLost, reason: outcome.ReasonWorkerLost, detail: string(w.info.ID) + " is another process now"}, now)
+		}
+	}
+}
+
 func (r *Runner) applyReports(w *workerState, reports []worker.Report, now time.Time) {
 	for _, report := range reports {
 		t := w.findTask(report)
@@ -335,7 +375,7 @@
 
 func (w *workerState) findTask(report worker.Report) *task {
 	for _, t := range w.tasks {
-		if t.id == report.Task && t.gang.attempt == report.Attempt {
+		if t.id == report.Task && t.gang.attempt == report.Attempt && !t.isDetached {
 			return t
 		}
 	}
@@ -358,7 +398,7 @@
 		interval = r.Timing.Interval
 	}
 	for _, t := range w.tasks {
-		if !t.ended() && t.gang.state() != gangRunning {
+		if !t.ended() && !t.isDetached && t.gang.state() != gangRunning {
 			interval = r.Timing.ConfirmInterval
 		}
 	}
--- a/internal/zone/gang.go
+++ b/internal/zone/gang.go
@@ -90,6 +90,11 @@
 	// mayHaveStarted is true once the start may have taken effect.
 	isDelivered, mayHaveStarted bool
 	stopSentAt                  time.Time
+	// endpoint is where the start was sent, or where the task was discovered.
+	endpoint string
+	// isDetached is true once another process answers for the worker at another endpoint. The task
+	// can't be stopped any more, and only the end of its lease shows that it does not run.
+	isDetached bool
 	// leaseExpiresBy is the latest time at which the task's lease can expire.
 	leaseExpiresBy time.Time
 	checkpoint     string
@@ -356,6 +361,8 @@
 	switch {
 	case t.worker == nil:
 		return r.isPoolReconciled(now)
+	case t.isDetached:
+		return !now.Before(t.leaseExpiresBy.Add(r.Timing.LeaseMargin))
 	case !t.mayHaveStarted:
 		return !t.worker.isStartInFlight(t)
 	}
--- a/internal/zone/recorded_workers.go
+++ b/internal/zone/recorded_workers.go
@@ -10,25 +10,33 @@
 	"github.com/chervilrun/chervilrun/internal/store"
 )
 
+// workerAddress names a worker at one endpoint. Another process at another endpoint may run under
+// the same ID while the first one lives.
+type workerAddress string
+
+func addressOf(id model.WorkerID, endpoint string) workerAddress {
+	return workerAddress(string(id) + " " + endpoint)
+}
+
 // recordedWorkers is the owner's record of the workers on which tasks may run. A worker gets tasks
 // only once it is recorded. So the next owner knows whom to claim, although the platform's list
 // lags and lacks workers that are cut off.
 type recordedWorkers struct {
 	revision store.Revision
 	// durable lists the workers that the stored record certainly names, sorted.
-	durable []model.WorkerID
+	durable []workerAddress
 	// wanted lists the workers that the record is to name, sorted.
-	wanted []model.WorkerID
+	wanted []workerAddress
 	// unclaimed holds the workers of earlier owners that this owner has not claimed yet.
-	unclaimed map[model.WorkerID]bool
+	unclaimed map[workerAddress]bool
 	// isComplete is true if the record names all workers of earlier owners.
 	isComplete bool
 }
 
 func (w *recordedWorkers) isDue() bool { return !slices.Equal(w.durable, w.wanted) }
 
-func (w *recordedWorkers) has(id model.WorkerID) bool {
-	_, found := slices.BinarySearch(w.durable, id)
+func (w *recordedWorkers) has(address workerAddress) bool {
+	_, found := slices.BinarySearch(w.durable, address)
 	return found
 }
 
@@ -41,10 +49,13 @@
 		c.revision = stored.ModRevision
 		c.durable = decodeWorkers(stored.Value)
 	}
-	c.unclaimed = map[model.WorkerID]bool{}
-	for _, id := range c.durable {
-		if w := r.workers[id]; w == nil || w.machine.State() == workerUnclaimed {
-			c.unclaimed[id] = true
+	c.unclaimed = map[workerAddress]bool{}
+	for _, address := range c.durable {
+		c.unclaimed[address] = true
+	}
+	for _, w := range r.workers {
+		if w.machine.State() != workerUnclaimed {
+			delete(c.unclaimed, addressOf(w.info.ID, w.claimedAt))
 		}
 	}
 	r.updateWantedWorkers(now)
@@ -62,10 +73,20 @@
 	}
 	wanted := maps.Clone(c.unclaimed)
 	if wanted == nil {
-		wanted = map[model.WorkerID]bool{}
+		wanted = map[workerAddress]bool{}
 	}
 	for _, w := range r.orderedWorkers {
-		wanted[w.info.ID] = true
+		wanted[addressOf(w.info.ID, w.info.Endpoint)] = true
+		for _, t := range w.tasks {
+			if t.endpoint != "" && !t.ended() {
+				wanted[addressOf(w.info.ID, t.endpoint)] = true
+			}
+		}
+	}
+	for _, d := range r.discovered {
+		for _, dt := range d.tasks {
+			wanted[addressOf(dt.worker.info.ID, dt.endpoint)] = true
+		}
 	}
 	c.wanted = slices.Sorted(maps.Keys(wanted))
 }
@@ -83,8 +104,8 @@
 func (r *Runner) recordWorkersCall() *StoreCall {
 	c := &r.recorder.workers
 	epochKey, key := store.EpochKey(r.Zone), store.ZoneWorkersKey(r.Zone)
-	c.durable = slices.DeleteFunc(slices.Clone(c.durable), func(id model.WorkerID) bool {
-		return !slices.Contains(c.wanted, id)
+	c.durable = slices.DeleteFunc(slices.Clone(c.durable), func(address workerAddress) bool {
+		return !slices.Contains(c.wanted, address)
 	})
 	return &StoreCall{Kind: CallWorkers, workers: c.wanted, Txn: &store.Txn{
 		If:   []store.Compare{store.Unchanged(epochKey, r.recorder.epochRevision), store.Unchanged(key, c.revision)},
@@ -116,21 +137,21 @@
 // The record holds one worker a line.
 const workerSeparator = "\n"
 
-func encodeWorkers(ids []model.WorkerID) []byte {
+func encodeWorkers(addresses []workerAddress) []byte {
 	var lines []string
-	for _, id := range ids {
-		lines = append(lines, string(id))
+	for _, address := range addresses {
+		lines = append(lines, string(address))
 	}
 	return []byte(strings.Join(lines, workerSeparator))
 }
 
-func decodeWorkers(value []byte) []model.WorkerID {
-	var ids []model.WorkerID
+func decodeWorkers(value []byte) []workerAddress {
+	var addresses []workerAddress
 	for _, line := range strings.Split(string(value), workerSeparator) {
 		if line != "" {
-			ids = append(ids, model.WorkerID(line))
+			addresses = append(addresses, workerAddress(line))
 		}
 	}
-	slices.Sort(ids)
-	return ids
+	slices.Sort(addresses)
+	return addresses
 }
--- a/internal/zone/recorder.go
+++ b/internal/zone/recorder.go
@@ -8,7 +8,6 @@
 
 	"github.com/chervilrun/chervilrun/internal/event"
 	"github.com/chervilrun/chervilrun/internal/job"
-	"github.com/chervilrun/chervilrun/internal/model"
 	"github.com/chervilrun/chervilrun/internal/outcome"
 	"github.com/chervilrun/chervilrun/internal/store"
 )
@@ -34,7 +33,7 @@
 	Limit    int
 
 	batch   *batch
-	workers []model.WorkerID
+	workers []workerAddress
 }
 
 // StoreResult is the result of a StoreCall.
--- a/internal/zone/takeover.go
+++ b/internal/zone/takeover.go
@@ -22,8 +22,11 @@
 }
 
 type discoveredTask struct {
-	worker *workerState
-	report worker.Report
+	worker   *workerState
+	endpoint string
+	report   worker.Report
+	// isDetached is as in task.
+	isDetached bool
 }
 
 // checkpointRoundBits is the width of the checkpoint round within one epoch; the epoch
@@ -42,7 +45,7 @@
 		r.discovered[report.Attempt] = d
 	}
 	d.gangTasks = max(d.gangTasks, report.GangTasks)
-	d.tasks[index] = &discoveredTask{w, report}
+	d.tasks[index] = &discoveredTask{worker: w, endpoint: w.claimedAt, report: report}
 	if j := r.jobs[d.job]; r.recorder.loaded && d.running() == 0 && (j == nil || !j.needsReconciliation) {
 		delete(r.discovered, d.attempt) // all reported tasks have ended, and the job needs none of them
 	}
@@ -53,7 +56,7 @@
 func (r *Runner) markDiscoveredStopped(w *workerState, reported map[model.AttemptID]bool) {
 	for _, d := range r.discovered {
 		for _, dt := range d.tasks {
-			if dt.worker == w && !reported[d.attempt] {
+			if dt.worker == w && !dt.isDetached && !reported[d.attempt] {
 				dt.report.State = worker.TaskStopped
 			}
 		}
@@ -73,11 +76,20 @@
 func (d *discoveredGang) running() int { return d.count(worker.TaskRunning) }
 
 func (d *discoveredGang) isComplete() bool {
-	return len(d.tasks) == d.gangTasks && d.running()+d.count(worker.TaskFinished) == d.gangTasks
+	return len(d.tasks) == d.gangTasks && !d.hasDetached() && d.running()+d.count(worker.TaskFinished) == d.gangTasks
 }
 
 func (d *discoveredGang) isBroken() bool {
-	return d.count(worker.TaskFailed)+d.count(worker.TaskStopped) > 0
+	return d.hasDetached() || d.count(worker.TaskFailed)+d.count(worker.TaskStopped) > 0
+}
+
+func (d *discoveredGang) hasDetached() bool {
+	for _, dt := range d.tasks {
+		if dt.isDetached {
+			return true
+		}
+	}
+	return false
 }
 
 func (d *discoveredGang) indexes() []int {
@@ -176,7 +188,7 @@
 	g := &gang{job: j, jobID: d.job, attempt: d.attempt, machine: gangChart.Restore(gangRunning), inEngine: inEngine, placedAt: now}
 	for _, index := range d.indexes() {
 		dt := d.tasks[index]
-		t := &task{gang: g, index: index, id: dt.report.Task, worker: dt.worker, machine: taskChart.New()}
+		t := &task{gang: g, index: index, id: dt.report.Task, worker: dt.worker, machine: taskChart.New(), endpoint: dt.endpoint, isDetached: dt.isDetached}
 		t.leaseExpiresBy = now.Add(r.longestLease())
 		t.applyReport(dt.report)
 		g.tasks = append(g.tasks, t)
--- a/internal/zone/unlisted_test.go
+++ b/internal/zone/unlisted_test.go
@@ -97,3 +97,55 @@
 	require.Equal(t, 2, c.pool.Audit().Starts)
 	c.requireInvariants()
 }
+
+// moveToOtherProcess makes the list name another process for a worker, whose earlier one lives on.
+func (c *testCluster) moveToOtherProcess(id model.WorkerID) {
+	for _, info := range c.pool.Workers() {
+		if info.ID == id {
+			info.ID += "-other"
+			info.Endpoint += "-other"
+			c.unlisted[info.ID] = true
+			c.pool.Add(info)
+			c.pool.Restart(info.ID) // its incarnation is a later one
+			c.endpoints[id] = info.Endpoint
+		}
+	}
+}
+
+// Guards against another process at a worker's address in the list being taken for the end of the
+// earlier one: its tasks were started again at once, while they ran on under their leases.
+func TestWorkerThatIsListedElsewhereMayStillRun(t *testing.T) {
+	cases := map[string]func(c *testCluster, id model.WorkerID){
+		"its owner lives": func(c *testCluster, id model.WorkerID) { c.moveToOtherProcess(id) },
+		"before a takeover": func(c *testCluster, id model.WorkerID) {
+			c.kill(c.zones[0])
+			c.run(time.Second)
+			c.moveToOtherProcess(id)
+		},
+		"right before its owner ends": func(c *testCluster, id model.WorkerID) {
+			c.moveToOtherProcess(id)
+			c.run(2 * time.Second)
+			c.kill(c.zones[0])
+		},
+		"after a takeover": func(c *testCluster, id model.WorkerID) {
+			c.pool.SetFaults(c.workerOf("a", 1), pool.Faults{Partitioned: true})
+			c.kill(c.zones[0])
+			c.run(ownerTTL + time.Second)
+			c.moveToOtherProcess(id)
+		},
+	}
+	for name, move := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCluster(t, 65, 4)
+			c.run(time.Second)
+			s := spec("a", 2, 20*time.Second)
+			s.Shape.PerTask.Accelerators = 8
+			c.submitTo(c.zones[0], s)
+			require.True(t, c.runUntil(5*time.Second, c.allRunning("a", 2)))
+			c.run(3 * time.Second)
+			move(c, c.workerOf("a", 0))
+			c.requireDone(t, "a")
+			c.requireInvariants()
+		})
+	}
+}
--- a/internal/zone/workers.go
+++ b/internal/zone/workers.go
@@ -31,6 +31,8 @@
 	lastSequence int64
 	// incarnation is the worker's incarnation when it was claimed.
 	incarnation int64
+	// claimedAt is the endpoint at which that incarnation answered last.
+	claimedAt string
 	// clockMS is the worker's clock at clockAt; 0 means unknown.
 	clockMS int64
 	clockAt time.Time
@@ -166,7 +168,7 @@
 }
 
 func (r *Runner) setUsable(w *workerState, now time.Time) {
-	usable := w.isListed && w.isClaimed() && r.recorder.workers.has(w.info.ID) && !w.isUnresponsive && w.untrackedTasks == 0 && !r.hasDiscoveredOn(w)
+	usable := w.isListed && w.isClaimed() && r.recorder.workers.has(addressOf(w.info.ID, w.info.Endpoint)) && !w.isUnresponsive && w.untrackedTasks == 0 && !r.hasDiscoveredOn(w)
 	if usable != w.isUsable {
 		w.isUsable = usable
 		r.Engine.SetUsable(w.info.ID, usable, now)
