--- a/internal/zone/cluster_test.go
+++ b/internal/zone/cluster_test.go
@@ -43,7 +43,9 @@
 
 	// unlisted workers are missing in the platform's list, as when it lags or they are cut off.
 	unlisted map[model.WorkerID]bool
-	// endpoints holds the endpoints of workers that the list names at another one than before.
+	// endpoints holds the endpoints of workers that the list names at another one than before;
+	// otherProcesses are the processes there, which are listed under the IDs of these workers.
+	otherProcesses    map[model.WorkerID]bool
 	endpoints         map[model.WorkerID]string
 	storeDown         bool
 	writesToLose      int // number of next writes that take effect but lose their response
@@ -80,6 +82,7 @@
 		writeDelay:        4 * time.Second,
 		timing:            zone.DefaultTiming(),
 		unlisted:          map[model.WorkerID]bool{},
+		otherProcesses:    map[model.WorkerID]bool{},
 		endpoints:         map[model.WorkerID]string{},
 		outcomes:          map[model.JobID]outcome.Outcome{},
 		outOfServiceSince: map[model.AvailabilityZoneID]time.Time{},
@@ -131,7 +134,7 @@
 		cluster.Zones = append(cluster.Zones, model.AvailabilityZone{ID: z.id, OutOfService: z.out})
 		owners[z.id] = view.Owner{Zone: z.id}
 	}
-	workers := slices.DeleteFunc(c.pool.Workers(), func(w model.Worker) bool { return c.unlisted[w.ID] })
+	workers := slices.DeleteFunc(c.pool.Workers(), func(w model.Worker) bool { return c.unlisted[w.ID] || c.otherProcesses[w.ID] })
 	for i, w := range workers {
 		if endpoint, moved := c.endpoints[w.ID]; moved {
 			workers[i].Endpoint = endpoint
--- a/internal/zone/random_test.go
+++ b/internal/zone/random_test.go
@@ -48,7 +48,7 @@
 
 func (r *randomRun) randomAction() {
 	z := r.randomZone()
-	switch rapid.IntRange(0, 17).Draw(r.rt, "action") {
+	switch rapid.IntRange(0, 18).Draw(r.rt, "action") {
 	case 0, 1, 2, 3:
 		for range rapid.IntRange(1, 6).Draw(r.rt, "burst") {
 			r.submit()
@@ -78,6 +78,8 @@
 		z.owner.missesUpdates = !z.owner.missesUpdates
 	case 17:
 		r.unlist(r.randomWorker())
+	case 18:
+		r.moveToNewProcess(r.randomWorker())
 	}
 }
 
@@ -107,6 +109,13 @@
 	r.schedule(relist, func() { delete(r.unlisted, id) })
 }
 
+// moveToNewProcess lists a worker at the endpoint of a new process, once; the earlier one lives on.
+func (r *randomRun) moveToNewProcess(id model.WorkerID) {
+	if r.endpoints[id] == "" && !r.otherProcesses[id] {
+		r.moveToOtherProcess(id)
+	}
+}
+
 func (r *randomRun) healAll() {
 	r.storeDown = false
 	r.writesToLose, r.writesToDelay = 0, 0
--- a/internal/zone/unlisted_test.go
+++ b/internal/zone/unlisted_test.go
@@ -98,15 +98,20 @@
 	c.requireInvariants()
 }
 
+// laterIncarnation is more than the restarts of any worker in a test, so that incarnations differ.
+const laterIncarnation = 100
+
 // moveToOtherProcess makes the list name another process for a worker, whose earlier one lives on.
 func (c *testCluster) moveToOtherProcess(id model.WorkerID) {
 	for _, info := range c.pool.Workers() {
 		if info.ID == id {
 			info.ID += "-other"
 			info.Endpoint += "-other"
-			c.unlisted[info.ID] = true
+			c.otherProcesses[info.ID] = true
 			c.pool.Add(info)
-			c.pool.Restart(info.ID) // its incarnation is a later one
+			for range laterIncarnation {
+				c.pool.Restart(info.ID)
+			}
 			c.endpoints[id] = info.Endpoint
 		}
 	}
