--- a/internal/zone/cluster_test.go
+++ b/internal/zone/cluster_test.go
@@ -41,6 +41,12 @@
 	zones  []*testZone
 	events *eventqueue.Simulation
 
+	// unlisted workers are missing in the platform's list, as when it lags or they are cut off.
+	unlisted map[model.WorkerID]bool
+	// endpoints holds the endpoints of workers that the list names at another one than before;
+	// otherProcesses are the processes there, which are listed under the IDs of these workers.
+	otherProcesses    map[model.WorkerID]bool
+	endpoints         map[model.WorkerID]string
 	storeDown         bool
 	writesToLose      int // number of next writes that take effect but lose their response
 	writesToDelay     int // number of next writes that take effect late and lose their response
@@ -75,6 +81,9 @@
 		pool:              pool.New(clock),
 		writeDelay:        4 * time.Second,
 		timing:            zone.DefaultTiming(),
+		unlisted:          map[model.WorkerID]bool{},
+		otherProcesses:    map[model.WorkerID]bool{},
+		endpoints:         map[model.WorkerID]string{},
 		outcomes:          map[model.JobID]outcome.Outcome{},
 		outOfServiceSince: map[model.AvailabilityZoneID]time.Time{},
 		organisations: []model.Organisation{
@@ -125,7 +134,13 @@
 		cluster.Zones = append(cluster.Zones, model.AvailabilityZone{ID: z.id, OutOfService: z.out})
 		owners[z.id] = view.Owner{Zone: z.id}
 	}
-	return &view.View{Config: cluster, Owners: owners, Workers: c.pool.Workers()}
+	workers := slices.DeleteFunc(c.pool.Workers(), func(w model.Worker) bool { return c.unlisted[w.ID] || c.otherProcesses[w.ID] })
+	for i, w := range workers {
+		if endpoint, moved := c.endpoints[w.ID]; moved {
+			workers[i].Endpoint = endpoint
+		}
+	}
+	return &view.View{Config: cluster, Owners: owners, Workers: workers}
 }
 
 func (c *testCluster) zone(id model.AvailabilityZoneID) *testZone {
--- a/internal/zone/gang.go
+++ b/internal/zone/gang.go
@@ -90,6 +90,11 @@
 	// mayHaveStarted is true once the start may have taken effect.
 	isDelivered, mayHaveStarted bool
 	stopSentAt                  time.Time
+	// endpoint is where the start was sent, or where the task was discovered.
+	endpoint string
+	// isDetached is true once another process answers for the worker at another endpoint. The task
+	// can't be stopped any more, and only the end of its lease shows that it does not run.
+	isDetached bool
 	// leaseExpiresBy is the latest time at which the task's lease can expire.
 	leaseExpiresBy time.Time
 	checkpoint     string
@@ -228,6 +233,7 @@
 	r.Metrics.StartDelay.Observe(now.Sub(g.placedAt).Seconds())
 	r.recordEvent(event.JobRunning, g.job, fmt.Sprintf("attempt %s", g.attempt))
 	for _, t := range g.tasks {
+		t.worker.handoverLeaseGiven = false
 		t.worker.exchangeNow(now)
 	}
 }
@@ -355,6 +361,8 @@
 	switch {
 	case t.worker == nil:
 		return r.isPoolReconciled(now)
+	case t.isDetached:
+		return !now.Before(t.leaseExpiresBy.Add(r.Timing.LeaseMargin))
 	case !t.mayHaveStarted:
 		return !t.worker.isStartInFlight(t)
 	}
--- a/internal/zone/recorder.go
+++ b/internal/zone/recorder.go
@@ -22,6 +22,7 @@
 	CallLoad     CallKind = "load"
 	CallWrite    CallKind = "write"
 	CallReadBack CallKind = "read_back"
+	CallWorkers  CallKind = "workers"
 )
 
 // StoreCall is one call to the store: a transaction, or a range read if Txn is nil.
@@ -31,7 +32,8 @@
 	From, To string
 	Limit    int
 
-	batch *batch
+	batch   *batch
+	workers []workerAddress
 }
 
 // StoreResult is the result of a StoreCall.
@@ -70,6 +72,7 @@
 	epochRevision store.Revision // of the zone's epoch key; 0 before it is read
 	cursor        string         // first key of the next page of records; empty for the first page
 	nextRescanAt  time.Time
+	workers       recordedWorkers
 
 	dirty       []*jobState
 	flushAt     time.Time // when dirty is to be written; zero if it is empty
@@ -104,7 +107,7 @@
 	switch {
 	case c.inFlight != nil:
 		return c.nextRescanAt.Add(time.Hour)
-	case !c.loaded || c.unconfirmed != nil:
+	case !c.loaded || c.unconfirmed != nil || c.workers.isDue():
 		return c.retryAt
 	case len(c.dirty) > 0:
 		return latest(c.flushAt, c.retryAt)
@@ -129,12 +132,14 @@
 	c := &r.recorder
 	switch {
 	case c.epochRevision == 0:
-		key := store.EpochKey(r.Zone)
-		return &StoreCall{Kind: CallEpoch, Txn: &store.Txn{Then: []store.Op{{Get: key}}}}
+		gets := []store.Op{{Get: store.EpochKey(r.Zone)}, {Get: store.ZoneWorkersKey(r.Zone)}}
+		return &StoreCall{Kind: CallEpoch, Txn: &store.Txn{Then: gets}}
 	case !c.loaded:
 		return r.loadCall()
 	case c.unconfirmed != nil:
 		return r.readBackCall(c.unconfirmed)
+	case c.workers.isDue():
+		return r.recordWorkersCall()
 	case len(c.dirty) > 0:
 		return r.writeCall()
 	}
@@ -250,6 +255,8 @@
 	case CallReadBack:
 		c.unconfirmed = nil
 		r.resolveBatch(call.batch, result.Txn.Gets, now)
+	case CallWorkers:
+		r.workersWritten(call, result.Txn)
 	}
 	r.unpark(now)
 }
@@ -339,8 +346,11 @@
 		return
 	}
 	r.notifyWaiters(j)
-	if isNew {
+	switch {
+	case isNew:
 		r.jobAccepted(j, now)
+	case j.moveUnsettled:
+		r.moveSettled(j, now)
 	}
 }
 
@@ -376,7 +386,9 @@
 	case e.remove:
 		j.expired = false
 		r.recorder.nextRescanAt = now // the job was moved back to this zone
-	case stored != nil && bytes.Equal(stored.Value, e.value):
+	case stored != nil && j.moveUnsettled && r.forwardedTo(stored.Value) != "":
+		r.movedLate(j, r.forwardedTo(stored.Value), stored.ModRevision, now)
+	case stored != nil && bytes.Equal(stored.Value, e.value) && !isUnchanged(j, stored):
 		r.entryDurable(e, stored.ModRevision, now)
 	case stored != nil && j.storedVersion == 0 && !isOwnRecord(stored.Value, j):
 		r.replaceWithStored(j, stored, now)
@@ -393,6 +405,12 @@
 	}
 }
 
+// isUnchanged reports whether the record of a job whose move failed has not been written since, so
+// that the write of the move may still take effect.
+func isUnchanged(j *jobState, stored *store.KeyValue) bool {
+	return j.moveUnsettled && stored.ModRevision == j.modRevision
+}
+
 // isOwnRecord reports whether a stored record is an earlier write of the same job state.
 func isOwnRecord(value []byte, j *jobState) bool {
 	record, err := job.Decode(value)
--- a/internal/zone/workers.go
+++ b/internal/zone/workers.go
@@ -9,6 +9,7 @@
 	"github.com/chervilrun/chervilrun/internal/model"
 	"github.com/chervilrun/chervilrun/internal/outcome"
 	"github.com/chervilrun/chervilrun/internal/scheduler"
+	"github.com/chervilrun/chervilrun/internal/view"
 	"github.com/chervilrun/chervilrun/internal/worker"
 )
 
@@ -30,6 +31,8 @@
 	lastSequence int64
 	// incarnation is the worker's incarnation when it was claimed.
 	incarnation int64
+	// claimedAt is the endpoint at which that incarnation answered last.
+	claimedAt string
 	// clockMS is the worker's clock at clockAt; 0 means unknown.
 	clockMS int64
 	clockAt time.Time
@@ -121,20 +124,23 @@
 		r.orderedWorkers = append(r.orderedWorkers, w)
 	}
 	r.retainUnlisted()
+	if r.recorder.epochRevision != 0 {
+		r.updateWantedWorkers(now)
+	}
 	r.Engine.SetWorkers(zoneWorkers, now)
 	for _, w := range r.orderedWorkers {
 		r.Engine.SetUsable(w.info.ID, w.isUsable, now)
 	}
 }
 
-// retainUnlisted keeps the workers that are no longer listed but still have tasks, and
-// removes the others that are not listed.
+// retainUnlisted keeps the workers that are no longer listed but still have tasks, or tasks of
+// discovered gangs that may be adopted, and removes the others that are not listed.
 func (r *Runner) retainUnlisted() {
 	var kept []*workerState
 	for id, w := range r.workers {
 		switch {
 		case w.isListed:
-		case len(w.tasks) == 0 && w.inFlight == nil && !r.hasDiscoveredOn(w):
+		case len(w.tasks) == 0 && w.inFlight == nil && !r.isDiscoveredOn(w):
 			w.machine.Fire("leave")
 			delete(r.workers, id)
 		default:
@@ -162,7 +168,7 @@
 }
 
 func (r *Runner) setUsable(w *workerState, now time.Time) {
-	usable := w.isListed && w.isClaimed() && !w.isUnresponsive && w.untrackedTasks == 0 && !r.hasDiscoveredOn(w)
+	usable := w.isListed && w.isClaimed() && r.recorder.workers.has(addressOf(w.info.ID, w.info.Endpoint)) && !w.isUnresponsive && w.untrackedTasks == 0 && !r.hasDiscoveredOn(w)
 	if usable != w.isUsable {
 		w.isUsable = usable
 		r.Engine.SetUsable(w.info.ID, usable, now)
@@ -181,13 +187,15 @@
 }
 
 // isPoolReconciled reports whether no unreported task of an earlier owner can be running:
-// every worker has reported all of its tasks to this epoch, or the longest lease that an
-// earlier owner can have given has expired.
+// every worker that it used has reported all of its tasks to this epoch, whether the platform
+// lists it or not, or the longest lease that an earlier owner can have given has expired.
 func (r *Runner) isPoolReconciled(now time.Time) bool {
-	longestLease := r.Timing.HandoverLease + r.Timing.ExchangeTimeout + r.Timing.LeaseMargin
-	if now.Sub(r.ownedSince) >= longestLease {
+	if r.areEarlierLeasesOver(now) {
 		return true
 	}
+	if used := &r.recorder.workers; !used.isComplete || len(used.unclaimed) > 0 {
+		return false
+	}
 	for _, w := range r.orderedWorkers {
 		if w.machine.State() == workerUnclaimed {
 			return false
@@ -196,6 +204,17 @@
 	return len(r.orderedWorkers) > 0
 }
 
+// areEarlierLeasesOver reports whether every lease that an earlier owner can have given has expired.
+// That owner may act until the confirmation of its view is too old.
+func (r *Runner) areEarlierLeasesOver(now time.Time) bool {
+	return now.Sub(r.ownedSince) >= view.MaxConfirmationAge+r.longestLease()+r.Timing.LeaseMargin
+}
+
+// longestLease is the time from a call until the longest lease that it can give has expired.
+func (r *Runner) longestLease() time.Duration {
+	return r.Timing.ExchangeTimeout + max(r.Timing.HandoverLease, r.Timing.RunLease)
+}
+
 func (r *Runner) throttle(a scheduler.ThrottleTask) {
 	w := r.workers[a.Worker]
 	if w == nil {
