A machine is gone only after four successive lists without it

Callers: a wave could be shown as completed although one of its machines was there and had no upkeep (rule MIXED). Cause: a machine counted as gone if two lists 3 s apart lacked it, however many lists between them could not be read. The pages of a list are not read at one time, so one list that lacks a machine says little, and a failed one says nothing.

--- a/internal/pool/upkeep.go
+++ b/internal/pool/upkeep.go
@@ -33,9 +33,11 @@
 	// upkeepSlack is added to the downtime of a machine to estimate the duration of a wave, and
 	// to decide that a machine which is up with the same worker is back from its upkeep.
 	upkeepSlack = 1500 * time.Millisecond
-	// machineGoneAfter is how long a machine has to be missing in the list of machines to count
-	// as gone: the pages of the list are not read at one time.
+	// A machine counts as gone once it has been missing for machineGoneAfter in the list of
+	// machines, and in minListsWithout successive lists: the pages of a list are not read at one
+	// time, and a list that can't be read says nothing.
 	machineGoneAfter = 3 * time.Second
+	minListsWithout  = 4
 )
 
 // wave is the state of a wave.
@@ -66,9 +68,11 @@
 	// once the list of machines has shown that it has ended.
 	previousWorker model.WorkerID
 	previousEnded  bool
-	// absentSince is when the machine was first missing in the list of machines.
-	absentSince time.Time
-	done        bool
+	// absentSince is when the machine was first missing in the list of machines, listsWithout the
+	// number of lists without it since.
+	absentSince  time.Time
+	listsWithout int
+	done         bool
 
 	recordState
 	// unrequestedSince is when the upkeep was first not part of any wave; zero while it is.
@@ -222,7 +226,7 @@
 	listed, ok := u.machines[m.id.machine]
 	switch {
 	case !ok:
-		m.done = !m.absentSince.IsZero() && u.listedAt.Sub(m.absentSince) >= machineGoneAfter
+		m.done = m.listsWithout >= minListsWithout && u.listedAt.Sub(m.absentSince) >= machineGoneAfter
 	case m.ordered:
 		o.endPreviousWorker(m, listed)
 		listedSince := !m.begunAt.IsZero() && u.listedAt.After(m.begunAt)
@@ -327,10 +331,13 @@
 	}
 	for _, m := range u.history {
 		if _, listed := u.machines[m.id.machine]; listed {
-			m.absentSince = time.Time{}
-		} else if m.absentSince.IsZero() {
+			m.absentSince, m.listsWithout = time.Time{}, 0
+			continue
+		}
+		if m.listsWithout == 0 {
 			m.absentSince = u.listedAt
 		}
+		m.listsWithout++
 	}
 }
 
