A lease that another suspecting host has ended is not taken for an expired one

Cause: several hosts suspect an owner at the same moment, one ends its lease, and another one may be elected. That one read that the owner key is absent and took the lease for expired, so its term didn't wait for what may have been left of it.

A host that has suspected the owner in the last 5 s now adds the whole lease. What is left open: a host that didn't suspect the owner wins the election after another one has ended the lease. It needs the notice of the removal, its delay and three calls in the time of one call of the other.

TestLeaseThatAnotherHostHasEndedIsNotExpired failed before.

--- a/internal/poolhost/elector.go
+++ b/internal/poolhost/elector.go
@@ -55,6 +55,9 @@
 	minTerm        = 3 * time.Second
 	// weightCheckInterval is the time between comparisons with the owner's weight.
 	weightCheckInterval = 2 * time.Second
+	// suspicionPeriod is how long after a suspicion a lease that has ended may have been ended
+	// because of it. It spans several calls of tryElection.
+	suspicionPeriod = 5 * time.Second
 	// electionRetryInterval is the time between failed calls of tryElection.
 	electionRetryInterval = 300 * time.Millisecond
 )
@@ -84,8 +87,9 @@
 	// suspects holds the incarnations of owners that have refused connections, with the revision
 	// of the owner key at that time.
 	suspects map[string]store.Revision
-	// leaseCutShortAt is when this host last ended the lease of an owner that may live on.
-	leaseCutShortAt time.Time
+	// suspectedAt is when this host last suspected an owner, or ended the lease of one that may
+	// live on. Other hosts that suspect it may have ended its lease since.
+	suspectedAt time.Time
 	// ownershipEnded is signalled when this host's ownership was handed over or has been lost.
 	ownershipEnded chan struct{}
 	withdrawn      bool
@@ -161,7 +165,7 @@
 	if _, known := e.suspects[incarnation]; known || e.withdrawn || e.keyIncarnation != incarnation {
 		return false
 	}
-	e.suspects[incarnation] = e.keyRevision
+	e.suspects[incarnation], e.suspectedAt = e.keyRevision, e.clock.Now()
 	signal(e.electionDue)
 	return true
 }
@@ -293,18 +297,19 @@
 	defer e.mu.Unlock()
 	why := e.mayReplace(current)
 	if why == replaceSuspect {
-		e.leaseCutShortAt = e.clock.Now()
+		e.suspectedAt = e.clock.Now()
 	}
 	return why != keepHolder
 }
 
 // leaseLeft returns how much of the earlier owner's lease may have been left when this host was
-// elected: nothing unless this host has ended it. The caller holds the lock.
+// elected. Nothing, unless this host has suspected that owner lately: its lease may then have been
+// renewed right before it was ended. The caller holds the lock.
 func (e *elector) leaseLeft() time.Duration {
-	if e.leaseCutShortAt.IsZero() {
+	if e.suspectedAt.IsZero() || pool.Elapsed(e.clock.Now(), e.suspectedAt) > suspicionPeriod {
 		return 0
 	}
-	return max(0, ownerLeaseTTL-pool.Elapsed(e.clock.Now(), e.leaseCutShortAt))
+	return ownerLeaseTTL
 }
 
 // adoptKey takes over a key that this process wrote without receiving a response.
--- a/internal/poolhost/replacement_test.go
+++ b/internal/poolhost/replacement_test.go
@@ -118,7 +118,21 @@
 	require.False(t, decided)
 	e.clock.Advance(electionRetryInterval)
 	require.True(t, e.isElected())
-	require.Equal(t, ownerLeaseTTL-electionRetryInterval, e.leaseLeft())
+	require.Equal(t, ownerLeaseTTL, e.leaseLeft())
+}
+
+// Guards against a term that takes the end of a suspected owner's lease for its expiry: several
+// hosts suspect it, and another one than the next owner has ended the lease.
+func TestLeaseThatAnotherHostHasEndedIsNotExpired(t *testing.T) {
+	e := newElection(t)
+	lease := e.write(ownerA)
+	e.suspectOwner("a1")
+	require.NoError(t, e.store.Revoke(context.Background(), lease))
+	e.clock.Advance(time.Second)
+	require.True(t, e.isElected())
+	require.Equal(t, ownerLeaseTTL, e.leaseLeft())
+	e.clock.Advance(suspicionPeriod)
+	require.Zero(t, e.leaseLeft())
 }
 
 // Guards against runs that are started again while the earlier owner may still renew their leases:
