Soak: executors that drain, refuse connections and lose their entries; hosts that are cut off

The soak had no draining executors, no entries that expire, no connections that are refused and nothing between hosts, so it could not show the incident. Now executors drain at random moments, live on beyond the minimum time, and meanwhile are cut off from the store, refuse connections (or are silent, reset, one way), or have their entry overwritten; then they leave with or without removing it and return as a new incarnation. Hosts refuse each other: each reads the others' addresses as those of proxies, since the store's stand-in replaces them in its responses. A quarter of the jobs takes four times as long.

--- a/Makefile
+++ b/Makefile
@@ -40,9 +40,11 @@
 # Runs real processes against stand-ins of the users' platform and injects faults; the
 # logs of failed seeds are kept in LOGS.
 SEEDS_SOAK ?= 10
+HOSTS_SOAK ?= 3
+EXECUTORS_SOAK ?= 6
 LOGS ?= /tmp/chervil-soak
 soak-processes:
-	$(GO) test ./platform/soak -v -count=1 -timeout 0 -soak.seed $(SEED) -soak.seeds $(SEEDS_SOAK) -soak.logs $(LOGS)
+	$(GO) test ./platform/soak -v -count=1 -timeout 0 -soak.seed $(SEED) -soak.seeds $(SEEDS_SOAK) -soak.hosts $(HOSTS_SOAK) -soak.executors $(EXECUTORS_SOAK) -soak.logs $(LOGS)
 
 # Measures the figures of docs/CAPACITY.md and prints them as JSON lines.
 capacity:
