--- a/internal/pool/evidence_clock_test.go
+++ b/internal/pool/evidence_clock_test.go
@@ -32,6 +32,7 @@
 			sim.after(call.Timeout, func() { o.handleResult(call, pool.Inventory{}, pool.ErrResponseLost) })
 		case f == victim && call.Start != nil:
 			// The worker is cut off from here on; this order still arrives, late.
+			require.Less(t, call.Start.ExpiresMS, f.clockMS()+workerLease.Milliseconds(), "the order is valid for too long")
 			silent = true
 			sim.after(11500*time.Millisecond, func() { _, _ = sim.execute(call) })
 			sim.after(call.Timeout, func() { o.handleResult(call, pool.Inventory{}, pool.ErrResponseLost) })
