--- a/internal/poolhost/failure_test.go
+++ b/internal/poolhost/failure_test.go
@@ -30,6 +30,8 @@
 	require.True(t, a.log.has("broken invariant"))
 	require.Equal(t, outcome.Accepted, a.Submit(ctx(t), record("0000000000000002")).Outcome.Kind)
 	eventually(t, "both jobs run", func() bool { return d.workers.startCount() == 2 && d.workers.runningCount() == 2 })
+	// Until then a reads the state from the store, where the begin of a job is recorded later.
+	eventually(t, "a knows that b is the owner", func() bool { return a.Status().Owner == "b" })
 	require.Equal(t, workflow.Running, a.State(ctx(t), "aso", "0000000000000001").State)
 }
 
