The wait for a silent worker outlives its owner

An owner records the workers with runs that it renews no more, and how long their leases may last. A recorded worker gets no lease until its removal is durable. The record is relied on only if the history of the owner key shows that each owner since its writer keeps to it.

A worker that has answered an owner has leases of earlier ones for one lease at most, since it refuses their orders from then on.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -104,6 +104,7 @@
 	AdviceMissing       Number = 2116
 	CrashRetracted      Number = 2117
 	TaskSuspected       Number = 2118
+	WorkerNotRenewed    Number = 2119
 	UpkeepWaveSeen      Number = 2120
 	UpkeepWaveCompleted Number = 2121
 	UpkeepOrdered       Number = 2122
@@ -197,6 +198,7 @@
 	WorkerUnlisted:      {"worker unlisted", logrus.InfoLevel, "The worker is no longer in the list of workers."},
 	WorkerCrashed:       {"worker crashed", logrus.WarnLevel, "The worker has crashed while runs were on it or may have been; the evidence field says what shows it."},
 	TaskSuspected:       {"task suspected", logrus.WarnLevel, "A worker has crashed under a run of the task group; it is kept apart from others, and given up after too many crashes."},
+	WorkerNotRenewed:    {"worker not renewed", logrus.InfoLevel, "The record of the silent workers names the worker from now on (named true): it gets no lease until its removal is recorded (named false)."},
 	CrashRetracted:      {"crash retracted", logrus.InfoLevel, "A worker that was silent and unlisted, and counted as crashed, is back: it was only cut off."},
 	RunUnexplained:      {"run unexplained", logrus.WarnLevel, "A worker reports a run that no record accounts for; the run is stopped."},
 	OrderUnanswered:     {"order unanswered", logrus.WarnLevel, "A start got no response; the run is stopped, and it is started elsewhere only after it is known to have ended."},
--- a/internal/pool/advance.go
+++ b/internal/pool/advance.go
@@ -49,6 +49,7 @@
 	o.advanceJobs()
 	o.endProvenRuns()
 	o.expireUnverified()
+	o.updateSilences()
 	if gate.MayStart {
 		o.advanceUpkeep()
 		o.plan()
@@ -133,20 +134,26 @@
 }
 
 // expireUnverified gives up recorded runs on workers that can't be reached, once every
-// lease that the previous owner may have granted has expired.
+// lease that earlier owners may have granted has expired.
 func (o *Owner) expireUnverified() {
-	leasesExpired := o.startedAt.Add(o.timing.TakeoverWait)
-	if o.now.Before(leasesExpired) {
-		return
-	}
 	for _, g := range o.stillRecovering() {
+		expired := false
 		for _, m := range g.members {
-			if m.phase == memberUnverified {
-				o.unverifiedUnreachable(m)
+			if m.phase != memberUnverified {
+				continue
+			}
+			leases := o.unreached(m)
+			if proof := leases.AllEnded(o.now); proof != evidence.None {
+				o.unverifiedUnreachable(m, proof)
+				expired = true
+			} else {
+				o.wakeAt(leases.Until().Add(time.Millisecond))
 			}
 		}
-		o.markChanged(g.job)
-		o.resolveRecovery(g)
+		if expired {
+			o.markChanged(g.job)
+			o.resolveRecovery(g)
+		}
 	}
 }
 
@@ -189,6 +196,10 @@
 			m.stopInFlight, m.stopSentAt = true, o.now
 			o.sendStop(w, m.key(), m, nil)
 		}
+	case m.startDue && w.leasesBarred:
+		if !w.SilentSince.IsZero() {
+			o.stopTaskGroup(m.group, "worker_silent")
+		}
 	case m.startDue && !w.clockReadAt.IsZero():
 		o.sendStart(w, m)
 	}
@@ -258,7 +269,7 @@
 func (o *Owner) sendRenewal(w *worker) {
 	order := RenewalOrder{Fence: o.fence, Acknowledged: w.acknowledged}
 	// The lease of a worker that does not respond is not extended, so that it expires.
-	if w.clockMS > 0 && w.members.len() > 0 && w.SilentSince.IsZero() {
+	if w.clockMS > 0 && w.members.len() > 0 && w.SilentSince.IsZero() && !w.leasesBarred {
 		order.ExpiresMS = w.clockNow(o.now) + o.timing.WorkerLease.Milliseconds()
 		w.extendLease(order.ExpiresMS)
 		if len(w.pendingAcks) == 0 {
--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -7,6 +7,7 @@
 
 	"github.com/chervilrun/chervilrun/internal/event"
 	"github.com/chervilrun/chervilrun/internal/model"
+	"github.com/chervilrun/chervilrun/internal/pool/evidence"
 	"github.com/chervilrun/chervilrun/internal/scheduler/crashes"
 	plan "github.com/chervilrun/chervilrun/internal/scheduler/pool"
 	"github.com/chervilrun/chervilrun/internal/workflow"
@@ -317,8 +318,11 @@
 // unverifiedUnreachable handles the recorded run of an earlier owner on a worker that has not
 // answered until every lease has expired. If the worker is not listed either, it counts as
 // crashed until it comes back.
-func (o *Owner) unverifiedUnreachable(m *member) {
+func (o *Owner) unverifiedUnreachable(m *member, proof evidence.Proof) {
 	lost := o.lostUnverified(m)
+	o.emit(event.TaskEnded, event.Subject{Job: string(m.group.job.id()), Worker: string(m.workerID)}, event.Fields{
+		"task": string(m.key().Task), "run": m.run, "cause": string(EndLeaseExpired), "why": string(proof), "saved": false,
+	})
 	if w, ok := o.workers.get(m.workerID); ok && w.Listed {
 		w.lostRuns = append(w.lostRuns, lost)
 	} else if !o.isUpkeepOrdered(m.workerID) {
--- a/internal/pool/evidence/evidence.go
+++ b/internal/pool/evidence/evidence.go
@@ -112,6 +112,37 @@
 	return None
 }
 
+// Unreached is what an owner knows of the leases of a worker that has runs of earlier owners and
+// has not answered this one, which has granted it none.
+type Unreached struct {
+	// LeasesUntil is when every lease has run out that earlier owners may have granted up to the
+	// end of their permission.
+	LeasesUntil time.Time
+	// NotRenewedUntil is when every lease has run out that was granted before the worker was
+	// recorded as silent, and none has been granted since; zero if that is not known.
+	NotRenewedUntil time.Time
+}
+
+// Until returns when every lease of the worker has certainly run out.
+func (u Unreached) Until() time.Time {
+	if !u.NotRenewedUntil.IsZero() && u.NotRenewedUntil.Before(u.LeasesUntil) {
+		return u.NotRenewedUntil
+	}
+	return u.LeasesUntil
+}
+
+// AllEnded returns what proves that the runs of earlier owners have ended, if anything does.
+func (u Unreached) AllEnded(now time.Time) Proof {
+	return leaseExpiredIf(now.After(u.Until()))
+}
+
+func leaseExpiredIf(expired bool) Proof {
+	if expired {
+		return LeaseExpired
+	}
+	return None
+}
+
 // Run is what an owner knows of one run on a worker.
 type Run struct {
 	// Recorded is true for the run of an earlier owner that the worker has not listed yet.
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -55,6 +55,9 @@
 // part of TakeoverWait.
 const LeaseRenewalGrace = 4 * time.Second
 
+// leaseMargin is added to the time for which a lease may last on the clock of another process.
+const leaseMargin = 500 * time.Millisecond
+
 // maxClockDrift is the maximum share by which a worker's clock may run slow.
 const maxClockDrift = 0.02
 
@@ -75,7 +78,7 @@
 		StoreTimeout:        300 * time.Millisecond,
 		MaxStoreTimeout:     1500 * time.Millisecond,
 		StoreRetryDelay:     200 * time.Millisecond,
-		TakeoverWait:        LeaseRenewalGrace + time.Duration(float64(workerLease)/(1-maxClockDrift)) + 500*time.Millisecond,
+		TakeoverWait:        LeaseRenewalGrace + time.Duration(float64(workerLease)/(1-maxClockDrift)) + leaseMargin,
 		MachineOrderGap:     3 * time.Second,
 		OrderPermission:     3 * time.Second,
 		StopRetryInterval:   300 * time.Millisecond,
@@ -85,6 +88,11 @@
 	}
 }
 
+// longestLease is how long a lease that a worker has just been granted lasts at most.
+func (t Timing) longestLease() time.Duration {
+	return time.Duration(float64(t.WorkerLease) / (1 - maxClockDrift))
+}
+
 // Gate states which effects are allowed at present.
 type Gate struct {
 	// MayStart is true while the ownership is certain and the configuration is confirmed.
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -49,6 +49,7 @@
 	crashRate   *crashes.Rate
 	crashReport CrashReport
 	crashRecord recordState
+	silences    silences
 	// suspects are the task groups under which workers have crashed.
 	suspects      orderedMap[plan.TaskGroupID, *taskGroup]
 	ownershipLost bool
@@ -95,7 +96,10 @@
 		unlistedWorkers: map[model.WorkerID]unlistedWorker{},
 		crashRate:       crashes.NewRate(now),
 		crashRecord:     recordState{key: store.PoolCrashesKey},
-		suspects:        newOrderedMap[plan.TaskGroupID, *taskGroup](),
+		silences: silences{
+			record: recordState{key: store.PoolSilenceKey}, workers: newOrderedMap[model.WorkerID, *silentWorker](),
+		},
+		suspects: newOrderedMap[plan.TaskGroupID, *taskGroup](),
 		quarantine: quarantine.NewList(quarantine.Rule{
 			Failures: quarantineFailures,
 			Base:     timing.QuarantineBase,
--- a/internal/pool/ownerrecord.go
+++ b/internal/pool/ownerrecord.go
@@ -78,6 +78,8 @@
 		return o.addUpkeep(kv)
 	case kv.Key == store.PoolCrashesKey:
 		return o.addCrashes(kv)
+	case kv.Key == store.PoolSilenceKey:
+		return o.addSilence(kv)
 	}
 	return errors.Errorf("%q is the key of no known record", kv.Key)
 }
--- a/internal/pool/reconcile.go
+++ b/internal/pool/reconcile.go
@@ -51,9 +51,6 @@
 		m.phase, m.confirmedAt = memberRunning, o.now
 		o.markStarted(m.group.job)
 		w.admit(m)
-		if _, known := w.LeaseUntil(); !known {
-			w.MayHaveLeaseUntil(o.now.Add(o.timing.TakeoverWait))
-		}
 	case memberStarting:
 		o.confirmStarted(w, m)
 	}
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -84,12 +84,13 @@
 	}
 	call := &StoreCall{Txn: o.newTxn()}
 	o.addUpkeepRecords(call)
-	for _, j := range o.jobsToRecord(recordsPerTransaction - 1 - len(call.recordWrites)) {
+	for _, j := range o.jobsToRecord(recordsPerTransaction - 2 - len(call.recordWrites)) {
 		write := jobWrite{job: j, version: j.version, value: workflow.Encode(j.progress())}
 		call.addRecord(store.PoolProgressKey(j.id()), j.revision, write.value)
 		call.writes = append(call.writes, write)
 	}
 	o.addCrashRecord(call)
+	o.addSilenceRecord(call)
 	if len(call.Txn.Then) == 0 {
 		return o.removeExpired()
 	}
--- a/internal/pool/responses.go
+++ b/internal/pool/responses.go
@@ -162,6 +162,8 @@
 	w.Incarnation = max(w.Incarnation, inventory.Incarnation)
 	subject := event.Subject{Worker: string(w.info.ID)}
 	if !w.claimed {
+		// From now on the worker refuses the orders of earlier owners.
+		w.MayHaveLeaseUntil(o.now.Add(o.timing.longestLease()))
 		o.planNeeded = true
 		o.emit(event.WorkerClaimed, subject, event.Fields{"running": len(inventory.Running), "ended": len(inventory.Ended), "born": w.Incarnation})
 	}
--- a/internal/pool/simulation_test.go
+++ b/internal/pool/simulation_test.go
@@ -63,6 +63,17 @@
 	loseWrites   int
 	lateWrites   time.Duration
 
+	// seenSilence is what a host that follows the store has seen of the record of silent workers;
+	// unawareOwner is true once an owner doesn't keep to it.
+	seenSilence  pool.SilenceTimes
+	unawareOwner bool
+	// followsNothing is true while the watch of that host delivers nothing.
+	followsNothing bool
+	// listFirst gives new owners the list of workers before the records.
+	listFirst bool
+	// onWrite is called with each transaction that is executed; nil for none.
+	onWrite func(txn store.Txn)
+
 	// crashAfter decides whether a run crashes its worker, and after how long; crashedWorkers
 	// are what the list of workers still names of those that came back under another ID.
 	crashAfter func(run *fakeRun) (crashes bool, after time.Duration)
@@ -148,6 +159,8 @@
 	owner   *pool.Owner
 	fence   store.Revision
 	stopped bool
+	// cutOff owners can't reach the store.
+	cutOff bool
 	// paused owners do nothing; renewedAt is when the owner's lease was last renewed.
 	paused    bool
 	renewedAt time.Time
@@ -177,12 +190,16 @@
 	o.owner = pool.NewOwner(uint64(o.fence), timing, sim.recorder(), sim.now())
 	o.owner.SetPolicy(sim.policy, sim.now())
 	sim.owner = o
+	if sim.listFirst {
+		o.setWorkers()
+	}
 	for _, kv := range sim.rangeAll(store.PoolRecordsPrefix) {
 		if !strings.HasPrefix(kv.Key, store.PoolProgressPrefix) {
 			require.NoError(sim.t, o.owner.AddRecord(kv, sim.now()))
 		}
 	}
 	o.reload()
+	sim.after(silenceFollowDelay, o.trustSilence)
 	if len(sim.waves) > 0 {
 		sim.requestWaves(sim.waves...)
 	}
@@ -192,6 +209,12 @@
 
 // reload passes the list of workers, the policy, the jobs and the cancellations to the owner.
 func (o *fakeOwner) reload() {
+	o.setWorkers()
+	o.owner.SetPolicy(o.sim.policy, o.sim.now())
+	o.load()
+}
+
+func (o *fakeOwner) setWorkers() {
 	sim := o.sim
 	var list []pool.WorkerInfo
 	for _, id := range sim.ids {
@@ -201,8 +224,6 @@
 	}
 	list = append(list, sim.crashedWorkers...)
 	o.owner.SetWorkers(list, sim.now())
-	o.owner.SetPolicy(sim.policy, sim.now())
-	o.load()
 }
 
 func (o *fakeOwner) load() {
@@ -565,7 +586,7 @@
 	case sim.resetWrites:
 		sim.transactions++
 		done(store.TxnResult{}, store.ErrResponseLost)
-	case sim.storeDown:
+	case sim.storeDown || o.cutOff:
 		done(store.TxnResult{}, store.ErrUnavailable)
 	case sim.loseWrites > 0:
 		sim.loseWrites--
@@ -573,10 +594,15 @@
 		sim.after(sim.lateWrites, func() {
 			_, err := sim.store.Txn(context.Background(), call.Txn)
 			require.NoError(sim.t, err)
+			sim.after(silenceFollowDelay, sim.followSilence)
 		})
 		done(store.TxnResult{}, store.ErrResponseLost)
 	default:
+		if sim.onWrite != nil {
+			sim.onWrite(call.Txn)
+		}
 		done(sim.store.Txn(context.Background(), call.Txn))
+		sim.after(silenceFollowDelay, sim.followSilence)
 	}
 }
 
--- a/internal/pool/worker.go
+++ b/internal/pool/worker.go
@@ -56,6 +56,8 @@
 	// upkeepOrdered is true once the upkeep of the worker's machine was ordered, which ends
 	// the worker.
 	upkeepOrdered bool
+	// leasesBarred is true while the record of the silent workers names the worker, or may.
+	leasesBarred bool
 	// crashed is true once this incarnation of the worker is known to have crashed.
 	crashed bool
 	// lostRuns are the runs that were given up when the worker's lease had expired, until the
@@ -144,7 +146,7 @@
 
 // usable reports whether the worker may get new tasks.
 func (w *worker) usable(policy *Policy) bool {
-	if !w.Listed || !w.claimed || w.Draining || policy.ZonesOutOfService[w.info.Zone] || w.cordoned || !w.SilentSince.IsZero() {
+	if !w.Listed || !w.claimed || w.Draining || policy.ZonesOutOfService[w.info.Zone] || w.cordoned || w.leasesBarred || !w.SilentSince.IsZero() {
 		return false
 	}
 	for _, orphan := range w.orphans.all() {
--- a/internal/pool/workerlist.go
+++ b/internal/pool/workerlist.go
@@ -30,6 +30,7 @@
 		o.handleNewWorker(info, lost)
 		w = newWorker(info, o.now)
 		w.upkeepOrdered = o.isUpkeepOrdered(info.ID)
+		w.leasesBarred = o.silences.workers.has(info.ID)
 		o.workers.set(info.ID, w)
 		return
 	}
--- a/internal/poolhost/elector.go
+++ b/internal/poolhost/elector.go
@@ -22,6 +22,9 @@
 	Incarnation string `json:"incarnation"`
 	// Weight is the CPU share of the host, in cores.
 	Weight float64 `json:"weight"`
+	// KeepsSilence is true for an owner that grants no lease to a worker that the record of silent
+	// workers names. Earlier versions of this program do not say so.
+	KeepsSilence bool `json:"keeps_silence,omitempty"`
 }
 
 // Timing of elections, of the owner's lease and of handovers.
--- a/internal/poolhost/host.go
+++ b/internal/poolhost/host.go
@@ -88,6 +88,8 @@
 	waveDueTimes map[int]time.Time
 	// ownerUnresponsive is true while calls from this host to the owner fail.
 	ownerUnresponsive bool
+	// silence is what this host has seen of the record of silent workers.
+	silence pool.SilenceTimes
 	// outage tracks whether the store can be reached.
 	outage *outageTracker
 }
@@ -110,7 +112,7 @@
 		ownerChanged: make(chan struct{}),
 		outage:       newOutageTracker(),
 	}
-	self := ownerValue{Host: o.Name, Address: o.Address, Incarnation: o.Incarnation, Weight: o.Weight}
+	self := ownerValue{Host: o.Name, Address: o.Address, Incarnation: o.Incarnation, Weight: o.Weight, KeepsSilence: true}
 	h.elector = newElector(o.Store, o.Clock, self, o.Events)
 	h.elector.onElected = h.beginTerm
 	h.elector.onLost = h.endTerm
@@ -118,6 +120,7 @@
 		h.follow(ctx, o.ConfigStore, o.Directories.ConfigPrefix, "configuration", h.handleConfig)
 	})
 	h.background(func() { h.follow(ctx, o.Store, store.PoolOwnerKey, "owner", h.handleOwnerKey) })
+	h.background(func() { h.follow(ctx, o.Store, store.PoolSilenceKey, "silence", h.handleSilence) })
 	h.background(func() { h.elector.run(ctx) })
 	h.background(func() { h.replaceWeakOwner(ctx) })
 	h.background(func() { h.watchOwner(ctx) })
--- a/internal/poolhost/host_test.go
+++ b/internal/poolhost/host_test.go
@@ -102,6 +102,7 @@
 	lastNumber  int64
 	starts      int
 	finishTasks bool
+	unreachable bool
 }
 
 func (f *fakeWorkers) Start(_ context.Context, _ pool.Target, order pool.StartOrder) (int64, error) {
@@ -138,6 +139,9 @@
 func (f *fakeWorkers) RenewLeases(ctx context.Context, _ pool.Target, order pool.RenewalOrder) (pool.Inventory, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.unreachable {
+		return pool.Inventory{}, pool.ErrResponseLost
+	}
 	inventory := pool.Inventory{ClockMS: 1000, Incarnation: 1}
 	if f.finishTasks {
 		for key := range f.runs {
@@ -161,6 +165,12 @@
 	f.finishTasks = finish
 }
 
+func (f *fakeWorkers) setUnreachable(unreachable bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unreachable = unreachable
+}
+
 func (f *fakeWorkers) runningCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/poolhost/term.go
+++ b/internal/poolhost/term.go
@@ -96,7 +96,7 @@
 	t.cancel()
 	t.loop.Stop()
 	t.goroutines.Wait()
-	h.outage.forget(h.Clock.Now(), "workers", "progress", "jobs")
+	h.outage.forget(h.Clock.Now(), "workers", "progress", "jobs", "owners")
 	h.Events.RecordFields(event.OwnershipLost, event.Subject{Host: h.Name}, event.Fields{"fence": t.fence, "why": why})
 }
 
@@ -174,13 +174,18 @@
 			others = append(others, kv)
 		}
 	}
+	var writer store.Revision
 	t.loop.Update(func(o *pool.Owner, now time.Time) {
+		defer func() { writer = store.Revision(o.SilenceWriter()) }()
 		for _, kv := range others {
 			if err := o.AddRecord(kv, now); err != nil {
 				t.host.Events.RecordFields(event.EntryMalformed, event.Subject{}, event.Fields{"key": kv.Key, "revision": kv.ModRevision, "why": err.Error()})
 			}
 		}
 	})
+	if writer != 0 {
+		t.background(func() { t.trustSilence(writer) })
+	}
 	return true
 }
 
--- a/internal/store/keys.go
+++ b/internal/store/keys.go
@@ -71,6 +71,8 @@
 	PoolUpkeepPrefix = PoolRecordsPrefix + "-upkeep/"
 	// PoolCrashesKey holds the owner's record of the latest crashes of workers.
 	PoolCrashesKey = PoolRecordsPrefix + "-crashes"
+	// PoolSilenceKey holds the owner's record of the silent workers. Each host watches it.
+	PoolSilenceKey = PoolRecordsPrefix + "-silence"
 
 	poolJobSuffix    = "/job"
 	poolCancelSuffix = "/cancel"
