--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -57,6 +57,9 @@
 // part of TakeoverWait.
 const LeaseRenewalGrace = 4 * time.Second
 
+// leaseMargin is added to the time for which a lease may last on the clock of another process.
+const leaseMargin = 500 * time.Millisecond
+
 // maxClockDrift is the maximum share by which a worker's clock may run slow.
 const maxClockDrift = 0.02
 
@@ -77,7 +80,7 @@
 		StoreTimeout:        300 * time.Millisecond,
 		MaxStoreTimeout:     1500 * time.Millisecond,
 		StoreRetryDelay:     200 * time.Millisecond,
-		TakeoverWait:        LeaseRenewalGrace + longestLease(workerLease),
+		TakeoverWait:        LeaseRenewalGrace + longestLease(workerLease) + leaseMargin,
 		MachineOrderGap:     3 * time.Second,
 		LateOrder:           12 * time.Second,
 		OrderPermission:     3 * time.Second,
@@ -88,9 +91,9 @@
 	}
 }
 
-// longestLease is how long a lease may last that a worker was granted for at most workerLease.
+// longestLease is how long a lease of workerLease that a worker has just been granted lasts at most.
 func longestLease(workerLease time.Duration) time.Duration {
-	return time.Duration(float64(workerLease)/(1-maxClockDrift)) + 500*time.Millisecond
+	return time.Duration(float64(workerLease) / (1 - maxClockDrift))
 }
 
 // Gate states which effects are allowed at present.
--- a/internal/pool/workerlist.go
+++ b/internal/pool/workerlist.go
@@ -30,6 +30,7 @@
 		o.handleNewWorker(info, lost)
 		w = newWorker(info, o.now)
 		w.upkeepOrdered = o.isUpkeepOrdered(info.ID)
+		w.leasesBarred = o.silences.workers.has(info.ID)
 		o.workers.set(info.ID, w)
 		return
 	}
@@ -106,7 +107,7 @@
 	until := o.now.Add(o.timing.TakeoverWait)
 	for _, m := range w.members.all() {
 		if m.startTries > 1 || m.startTries == 1 && m.phase != memberRunning {
-			if late := m.startSentAt.Add(o.timing.LateOrder + longestLease(o.timing.WorkerLease)); late.After(until) {
+			if late := m.startSentAt.Add(o.timing.LateOrder + longestLease(o.timing.WorkerLease) + leaseMargin); late.After(until) {
 				until = late
 			}
 		}
