A new owner waits for late orders to an earlier incarnation, too

Callers would have seen a task run twice: a start order of the earlier owner, carried out 11.5 s late by a restarted worker that answered nobody, began a run that the new owner had given up 10.6 s after its takeover. The record names the incarnation of each run; where the list names a later one, the run now waits for late orders from the takeover on, as after a restart under one owner.

Left: a restart that the list doesn't show.

--- a/internal/pool/silence.go
+++ b/internal/pool/silence.go
@@ -329,6 +329,11 @@
 // worker that has not listed it.
 func (o *Owner) unreached(m *member) evidence.Unreached {
 	u := evidence.Unreached{LeasesUntil: o.startedAt.Add(o.timing.TakeoverWait)}
+	if w, known := o.workers.get(m.workerID); known && m.incarnation != 0 && w.Incarnation > m.incarnation {
+		// A late order of the earlier owner may begin the run on the later incarnation.
+		u.LeasesUntil = o.startedAt.Add(o.timing.LateOrder + longestLease(o.timing.WorkerLease) + leaseMargin)
+		return u
+	}
 	s, named := o.silences.workers.get(m.workerID)
 	if !named || s.seenUntil.IsZero() || m.incarnation == 0 || m.incarnation != s.incarnation {
 		return u
