--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -320,9 +320,6 @@
 // crashed until it comes back.
 func (o *Owner) unverifiedUnreachable(m *member, proof evidence.Proof) {
 	lost := o.lostUnverified(m)
-	o.emit(event.TaskEnded, event.Subject{Job: string(m.group.job.id()), Worker: string(m.workerID)}, event.Fields{
-		"task": string(m.key().Task), "run": m.run, "cause": string(EndLeaseExpired), "why": string(proof), "saved": false,
-	})
 	if w, ok := o.workers.get(m.workerID); ok && w.Listed {
 		w.lostRuns = append(w.lostRuns, lost)
 	} else if !o.isUpkeepOrdered(m.workerID) {
@@ -330,7 +327,7 @@
 		o.unlistedWorkers[m.workerID] = unlistedWorker{incarnation: m.incarnation, runs: append(u.runs, lost), at: o.now}
 		o.reportCrash(m.workerID, crashUnlisted, []lostRun{lost})
 	}
-	o.recordedRunEnded(m, evidence.LeaseExpired)
+	o.recordedRunEnded(m, proof)
 }
 
 // handleNewWorker looks for what a worker that was not known says of earlier ones: it may
