--- a/internal/schedulerd/schedulerd_test.go
+++ b/internal/schedulerd/schedulerd_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 	"github.com/twitchtv/twirp"
@@ -123,12 +124,17 @@
 	return response
 }
 
-// awaitState long-polls a job until it is in the wanted state.
+// awaitState long-polls a job until it is in the wanted state. An owner that has not read all records
+// yet doesn't know whether there is such a job.
 func awaitState(t *testing.T, h *host, id string, want job.State) job.Record {
 	var record job.Record
 	require.Eventually(t, func() bool {
 		request := &rpc.GetJobRequest{Job: id, Organisation: "chikushi", KnownRevision: record.Revision, WaitMs: 2000}
 		response, err := h.client.GetJob(context.Background(), request)
+		var failed twirp.Error
+		if errors.As(err, &failed) && failed.Code() == twirp.Unavailable {
+			return false
+		}
 		require.NoError(t, err)
 		if !response.GetFound() {
 			return false
