review: case 7, two owners order the upkeep of one machine within leaseMs

ONE: after a handover the new owner orders the upkeep of a machine for a second wave 2.5 s after the earlier owner's order for the first wave. Both hosts have been in touch for longer than contactMs; leaseMs is 3 s.

Cause: the gap between orders of two owners is kept by wave and machine, not by machine.

--- a/review/harness2/pool.go
+++ b/review/harness2/pool.go
@@ -31,8 +31,15 @@
 	CPU      int64
 	// Gang is the number of tasks that work only together; 0 for independent tasks.
 	Gang int
-	// Lasts is true for tasks that run until they are stopped.
+	// Lasts is true for tasks that run until they are stopped, or fail after Duration if FailShare
+	// says so.
 	Lasts bool
+	// GPU is what a task takes of them, Spec what each start has to carry, MaxPerServer as in Step.
+	GPU          int
+	Spec         string
+	MaxPerServer int
+	// Fails says whether a run of a task fails after Duration.
+	Fails func(task string, run int) bool
 }
 
 // Capacity is what an executor has and a task takes.
@@ -99,7 +106,7 @@
 	Name     string
 	Rack     string
 	executor *Executor
-	wave     int
+	waves    []int
 	downTill time.Time
 }
 
@@ -283,6 +290,8 @@
 			e.end(r, "stopped")
 		case !complete && now.Sub(r.since) > gangWait:
 			e.end(r, "alone")
+		case complete && r.work.Fails != nil && now.Sub(since) >= r.work.Duration && r.work.Fails(r.task, r.number):
+			e.end(r, "failed")
 		case complete && !r.work.Lasts && now.Sub(since) >= r.work.Duration:
 			e.endGang(r)
 		}
@@ -472,14 +481,14 @@
 		if p.OnUpkeep != nil {
 			p.OnUpkeep(call)
 		}
-		status := p.upkeep(call, body.Wave)
+		status, reason := p.upkeep(call, body.Wave)
 		time.Sleep(p.AnswerDelay)
-		writeJSON(w, status, map[string]any{})
+		writeJSON(w, status, map[string]any{"reason": reason})
 	})
 	return mux
 }
 
-func (p *Pool) upkeep(call UpkeepCall, wave int) int {
+func (p *Pool) upkeep(call UpkeepCall, wave int) (status int, reason string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.upkeeps = append(p.upkeeps, call)
@@ -488,13 +497,17 @@
 		if m.Name != call.Machine {
 			continue
 		}
-		if m.wave < wave {
-			m.wave, m.downTill = wave, time.Now().Add(upkeepTime)
+		switch {
+		case slices.Contains(m.waves, wave):
+		case !m.downTill.IsZero():
+			return http.StatusConflict, "busy"
+		default:
+			m.waves, m.downTill = append(m.waves, wave), time.Now().Add(upkeepTime)
 			m.executor.terminate()
 		}
-		return http.StatusOK
+		return http.StatusOK, ""
 	}
-	return http.StatusBadRequest
+	return http.StatusBadRequest, ""
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
