--- a/review/harness2/harness2.go
+++ b/review/harness2/harness2.go
@@ -34,6 +34,8 @@
 	Trouble bool
 	Store   *Switchboard
 	Pool    *Pool
+	// Adviser is the address of the adviser; empty if there is none.
+	Adviser string
 	dir     string
 	prefix  string
 	started time.Time
@@ -180,6 +182,7 @@
 region = "r"
 internalPorts = [7000,7015]
 orders = "call"
+advice = %q
 [listen]
 front = %q
 ready = %q
@@ -218,7 +221,7 @@
 addr = %q
 perS = 60.0
 dutyPerS = 60.0
-`, h.Name, ip, h.Front, h.Ready, cpuShare, storeAddress, cloudAddress)
+`, h.Name, ip, b.Adviser, h.Front, h.Ready, cpuShare, storeAddress, cloudAddress)
 	Must(os.WriteFile(h.settings, []byte(text), 0o600))
 	log, err := os.Create(filepath.Join(b.dir, h.Name+".log"))
 	Must(err)
@@ -281,11 +284,17 @@
 
 // WriteConfiguration writes a configuration with two tenants, one queue each way.
 func (b *Bench) WriteConfiguration(version int) {
+	advised := ""
+	if b.Adviser != "" {
+		advised = fmt.Sprintf(`,
+{"name":"advised","host":"q","prefix":"/advised/","priority":1,"service":"ledger","maxAttempts":3,"stretch":3,"sloMs":1000,"advice":{"decideMs":%d,"eachMs":%d,"validMs":%d}}`,
+			DecideTime.Milliseconds(), EachTime.Milliseconds(), ValidTime.Milliseconds())
+	}
 	text := fmt.Sprintf(`{"version":%d,"routes":[
 {"name":"urgent","host":"q","prefix":"/urgent/","priority":0,"service":"ledger","maxAttempts":3,"stretch":1.5,"sloMs":250},
-{"name":"batch","host":"q","prefix":"/batch/","priority":2,"service":"ledger","maxAttempts":3,"stretch":3,"sloMs":3000}],
+{"name":"batch","host":"q","prefix":"/batch/","priority":2,"service":"ledger","maxAttempts":3,"stretch":3,"sloMs":3000}%s],
 "services":[{"name":"ledger"}],"limits":{"maxBodyBytes":262144},
-"tenants":[{"name":"aso","apiKeys":["key-aso"],"guaranteed":{"gpu":16}},{"name":"genkai","apiKeys":["key-genkai"],"guaranteed":{"gpu":8}}]}`, version)
+"tenants":[{"name":"aso","apiKeys":["key-aso"],"guaranteed":{"gpu":16}},{"name":"genkai","apiKeys":["key-genkai"],"guaranteed":{"gpu":8}}]}`, version, advised)
 	if !b.Store.Inner.Put("op/config", text) {
 		Must(fmt.Errorf("the configuration was not written"))
 	}
--- a/review/harness2/pool.go
+++ b/review/harness2/pool.go
@@ -32,6 +32,8 @@
 	CPU      int64
 	// Gang is the number of tasks that work only together; 0 for independent tasks.
 	Gang int
+	// Advised is true for tasks that start only with a ticket of the adviser.
+	Advised bool
 	// Lasts is true for tasks that run until they are stopped, or fail after Duration if FailShare
 	// says so.
 	Lasts bool
@@ -60,6 +62,7 @@
 	work      map[string]Work
 	done      map[string]int
 	ends      map[string]map[string]int
+	tickets   map[string]time.Time
 	starts    map[string]int
 	next      int
 	upkeeps   []UpkeepCall
@@ -116,7 +119,7 @@
 }
 
 func newPool(b *Bench) *Pool {
-	return &Pool{bench: b, work: map[string]Work{}, done: map[string]int{}, ends: map[string]map[string]int{}, starts: map[string]int{}}
+	return &Pool{bench: b, work: map[string]Work{}, done: map[string]int{}, ends: map[string]map[string]int{}, tickets: map[string]time.Time{}, starts: map[string]int{}}
 }
 
 // AddMachines adds machines of the site's size, each with an executor.
@@ -377,6 +380,7 @@
 	Fence     uint64 `json:"fence"`
 	LastSeen  int64  `json:"lastSeen"`
 	WaitMS    int64  `json:"waitMs"`
+	Token     string `json:"token"`
 }
 
 // ServeHTTP implements http.Handler.
@@ -487,6 +491,9 @@
 			return "old"
 		}
 		work := e.pool.work[jobOf(o.Task)]
+		if work.Advised && !e.pool.ticketValid(e.ID, o) {
+			return "ticket"
+		}
 		e.runs[o.Task] = &run{task: o.Task, number: o.Run, work: work, since: time.Now()}
 		e.pool.starts[o.Task]++
 		e.pool.bench.Log("%s: run %d of %s starts, fence %d", e.ID, o.Run, o.Task, o.Fence)
