--- a/review/harness2/pool.go
+++ b/review/harness2/pool.go
@@ -34,13 +34,8 @@
 	Gang int
 	// Advised is true for tasks that start only with a ticket of the adviser.
 	Advised bool
-	// Lasts is true for tasks that run until they are stopped, or fail after Duration if FailShare
-	// says so.
+	// Lasts is true for tasks that run until they are stopped.
 	Lasts bool
-	// GPU is what a task takes of them, Spec what each start has to carry, MaxPerServer as in Step.
-	GPU          int
-	Spec         string
-	MaxPerServer int
 	// Fails says whether a run of a task fails after Duration.
 	Fails func(task string, run int) bool
 }
@@ -63,13 +58,10 @@
 	done      map[string]int
 	ends      map[string]map[string]int
 	tickets   map[string]time.Time
-	starts    map[string]int
 	next      int
 	upkeeps   []UpkeepCall
 	// AnswerDelay is how long the machine service takes for an answer.
 	AnswerDelay time.Duration
-	// OnUpkeep is called when an order for an upkeep has arrived, before it is carried out.
-	OnUpkeep func(UpkeepCall)
 }
 
 // UpkeepCall is an order for the upkeep of a machine as it arrived.
@@ -119,7 +111,7 @@
 }
 
 func newPool(b *Bench) *Pool {
-	return &Pool{bench: b, work: map[string]Work{}, done: map[string]int{}, ends: map[string]map[string]int{}, tickets: map[string]time.Time{}, starts: map[string]int{}}
+	return &Pool{bench: b, work: map[string]Work{}, done: map[string]int{}, ends: map[string]map[string]int{}, tickets: map[string]time.Time{}}
 }
 
 // AddMachines adds machines of the site's size, each with an executor.
@@ -495,7 +487,6 @@
 			return "ticket"
 		}
 		e.runs[o.Task] = &run{task: o.Task, number: o.Run, work: work, since: time.Now()}
-		e.pool.starts[o.Task]++
 		e.pool.bench.Log("%s: run %d of %s starts, fence %d", e.ID, o.Run, o.Task, o.Fence)
 	}
 	return ""
@@ -528,9 +519,6 @@
 			return
 		}
 		call := UpkeepCall{At: time.Now(), Machine: body.Machine, Holder: r.Header.Get("Duty-Holder"), Fence: r.Header.Get("Fence-Token")}
-		if p.OnUpkeep != nil {
-			p.OnUpkeep(call)
-		}
 		status, reason := p.upkeep(call, body.Wave)
 		time.Sleep(p.AnswerDelay)
 		writeJSON(w, status, map[string]any{"reason": reason})
