--- a/review/harness2/harness2.go
+++ b/review/harness2/harness2.go
@@ -63,12 +63,34 @@
 	return b
 }
 
-// Must ends the program with NotRun if there is an error.
+// started holds the processes that run, for a case that ends early.
+var started struct {
+	mu        sync.Mutex
+	processes map[*os.Process]bool
+}
+
+func noteProcess(process *os.Process, running bool) {
+	started.mu.Lock()
+	defer started.mu.Unlock()
+	if started.processes == nil {
+		started.processes = map[*os.Process]bool{}
+	}
+	started.processes[process] = running
+}
+
+// Must ends the processes and the program with NotRun if there is an error.
 func Must(err error) {
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "the case can't run:", err)
-		os.Exit(NotRun)
+	if err == nil {
+		return
 	}
+	fmt.Fprintln(os.Stderr, "the case can't run:", err)
+	started.mu.Lock()
+	for process, running := range started.processes {
+		if running {
+			_ = process.Kill()
+		}
+	}
+	os.Exit(NotRun)
 }
 
 // Log writes a line to the record and to standard output.
@@ -87,9 +109,7 @@
 		h.Kill()
 	}
 	close(b.stop)
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(b.dir)
-	}
+	_ = os.RemoveAll(b.dir)
 	_ = b.record.Close()
 }
 
@@ -239,6 +259,7 @@
 	command.Stdout, command.Stderr = h.log, h.log
 	Must(command.Start())
 	h.process = command
+	noteProcess(command.Process, true)
 }
 
 // Signal sends a signal to the process.
@@ -257,6 +278,7 @@
 	if h.process != nil {
 		_ = h.process.Process.Kill()
 		_ = h.process.Wait()
+		noteProcess(h.process.Process, false)
 		h.process = nil
 	}
 }
