--- a/internal/pool/advice.go
+++ b/internal/pool/advice.go
@@ -91,6 +91,25 @@
 	return allowed
 }
 
+// describeAdvice explains why no worker is allowed to run a step.
+func (o *Owner) describeAdvice(s *step) string {
+	a := s.ensureAdvice()
+	switch {
+	case len(a.tickets) > 0:
+		return fmt.Sprintf("the tickets for all %d workers that the adviser has allowed have expired; %s", len(a.tickets), a.nextRequest())
+	case len(a.denied) > 0:
+		return fmt.Sprintf("the adviser has denied %d workers and allowed none yet; %s", len(a.denied), a.nextRequest())
+	}
+	return "the adviser has not responded yet; " + a.nextRequest()
+}
+
+func (a *stepAdvice) nextRequest() string {
+	if a.inFlight {
+		return "a request is in flight"
+	}
+	return "no request is in flight"
+}
+
 // askAdviser requests advice for steps with unassigned task groups.
 func (o *Owner) askAdviser() {
 	for _, g := range o.readyTaskGroups() {
@@ -169,18 +188,25 @@
 		o.emit(event.AdviceMissing, event.Subject{}, event.Fields{"step": call.Advise.Step, "workers": len(call.Advise.Workers), "why": err.Error()})
 		return
 	}
+	renewed, validUntil := 0, call.Sent.Add(advice.ValidFor)
 	for _, id := range call.Advise.Workers {
 		w, known := o.workers.get(id)
 		ticketText, allowed := advice.Tickets[id]
+		if _, had := a.tickets[id]; had && allowed {
+			renewed++
+		}
 		switch {
 		case !allowed:
 			a.denied[id] = true
 		case known:
 			// The validity starts with the response; counting from the request is safe.
-			a.tickets[id] = ticket{text: ticketText, incarnation: w.Incarnation, validUntil: call.Sent.Add(advice.ValidFor)}
+			a.tickets[id] = ticket{text: ticketText, incarnation: w.Incarnation, validUntil: validUntil}
 		}
 	}
-	o.emit(event.AdviceTaken, event.Subject{}, event.Fields{"step": call.Advise.Step, "workers": len(call.Advise.Workers), "good": len(advice.Tickets), "took_ms": now.Sub(call.Sent).Milliseconds()})
+	o.emit(event.AdviceTaken, event.Subject{}, event.Fields{
+		"step": call.Advise.Step, "workers": len(call.Advise.Workers), "good": len(advice.Tickets), "renewed": renewed,
+		"took_ms": now.Sub(call.Sent).Milliseconds(), "valid_ms": validUntil.Sub(now).Milliseconds(), "also_in_flight": o.adviceRequestsInFlight,
+	})
 	o.planNeeded = true
 }
 
--- a/internal/pool/explain.go
+++ b/internal/pool/explain.go
@@ -120,7 +120,11 @@
 	if planGroup.Isolation == plan.EmptyWorkersOnly {
 		return fmt.Sprintf("workers have crashed under %d of its runs, so that it waits for workers that run nothing else", len(g.crashes))
 	}
-	return describeFit(planGroup, plan.Explain(o.snapshot(g.job.queue.Service, []*plan.TaskGroup{planGroup}), planGroup))
+	fit := plan.Explain(o.snapshot(g.job.queue.Service, []*plan.TaskGroup{planGroup}), planGroup)
+	if g.job.queue.Advised && fit.UsableWorkers > 0 && fit.AllowedWorkers == 0 {
+		return o.describeAdvice(g.step)
+	}
+	return describeFit(planGroup, fit)
 }
 
 // describeFit explains why a task group can't be placed, by the most fundamental reason.
@@ -128,8 +132,6 @@
 	switch {
 	case fit.UsableWorkers == 0:
 		return "no worker is available"
-	case fit.AllowedWorkers == 0 && group.AllowedWorkers != nil:
-		return "the adviser has allowed none of the workers yet"
 	case fit.AllowedWorkers == 0:
 		return fmt.Sprintf("none of %d workers has the label %q", fit.UsableWorkers, group.RequiredLabel)
 	case fit.LargeEnoughWorkers == 0:
--- a/internal/pool/platform_test.go
+++ b/internal/pool/platform_test.go
@@ -16,13 +16,13 @@
 // that is still valid.
 func TestAdvisedStepsRunWhereTheyMay(t *testing.T) {
 	sim := startSimulation(t, 2, 8)
-	sim.adviserAllows = func(_ string, worker model.WorkerID) bool { return strings.HasSuffix(string(worker), "-3") }
+	sim.adviser.allows = func(_ string, worker model.WorkerID) bool { return strings.HasSuffix(string(worker), "-3") }
 	queue := normalQueue()
 	queue.Advised = true
 	id := sim.submit("a", "aso", queue, step(40, 1, time.Second), gang(2, 8, time.Second))
 	sim.waitFor(30*time.Second, id, workflow.Completed)
 	for worker, f := range sim.workers {
-		if !sim.adviserAllows("", worker) {
+		if !sim.adviser.allows("", worker) {
 			require.Zero(t, f.endCount, "%s ran a task", worker)
 		}
 	}
--- a/internal/pool/simulation_test.go
+++ b/internal/pool/simulation_test.go
@@ -90,8 +90,7 @@
 	restart        workerRestart
 	crashedWorkers []pool.WorkerInfo
 
-	// adviserAllows decides which workers may run a step.
-	adviserAllows func(step string, worker model.WorkerID) bool
+	adviser fakeAdviser
 	// machinesDown holds the upkeeps in progress, at most maxMachinesDown of a wave at a time,
 	// machinesDone the completed ones. machineOrders holds the latest order for each machine.
 	machinesDown    map[upkeepKey]bool
@@ -391,25 +390,6 @@
 	sim.after(sim.networkDelay(), func() { o.handleResult(call, inventory, err) })
 }
 
-const ticketValidity = 2 * time.Second
-
-func (sim *simulation) advise(o *fakeOwner, call pool.Call) {
-	advice := pool.Advice{Tickets: map[model.WorkerID]string{}, ValidFor: ticketValidity}
-	for _, id := range call.Advise.Workers {
-		if sim.adviserAllows(call.Advise.Step, id) {
-			advice.Tickets[id] = sim.ticket(call.Advise.Step, id)
-		}
-	}
-	sim.after(50*time.Millisecond, func() {
-		o.deliverResult(func(owner *pool.Owner, now time.Time) { owner.AdviseDone(call, advice, nil, now) })
-	})
-}
-
-// ticket encodes the step, the worker's incarnation and the time of issue.
-func (sim *simulation) ticket(step string, id model.WorkerID) string {
-	return fmt.Sprintf("%s/%s/%d/%d", step, id, sim.workers[id].incarnation, sim.now().UnixMilli())
-}
-
 // machineOf returns the machine of a worker; the worker's ID changes with an upkeep.
 func machineOf(f *fakeWorker) pool.MachineID { return pool.MachineID("m-" + f.info.Address) }
 
@@ -772,14 +752,8 @@
 	require.NoError(f.sim.t, err)
 	record := f.sim.records[task.Job]
 	require.NotNil(f.sim.t, record, "started a job that nobody submitted")
-	if record.Queue.Advised {
-		var at int64
-		ticket, millis, _ := strings.Cut(splitLastSlash(order.Ticket), " ")
-		_, err := fmt.Sscan(millis, &at)
-		want := fmt.Sprintf("%s.%d.%d/%s/%d", task.Job, task.Occurrence, task.Step, f.info.ID, f.incarnation)
-		if err != nil || ticket != want || f.now().UnixMilli() > at+ticketValidity.Milliseconds() {
-			return pool.ErrTicketRefused
-		}
+	if record.Queue.Advised && !f.acceptsTicket(order.Ticket, task) {
+		return pool.ErrTicketRefused
 	}
 	run := &fakeRun{key: key, task: task, spec: &record.Spec.Steps[task.Step], startedAt: f.now(), share: 100}
 	if order.Checkpoint != "" {
@@ -794,14 +768,6 @@
 	return nil
 }
 
-// splitLastSlash replaces the last slash with a space, for strings.Cut.
-func splitLastSlash(s string) string {
-	if at := strings.LastIndexByte(s, '/'); at >= 0 {
-		return s[:at] + " " + s[at+1:]
-	}
-	return s
-}
-
 func (f *fakeWorker) extendLease(expiresMS int64) {
 	f.leaseMS = max(f.leaseMS, min(expiresMS, f.clockMS()+workerLease.Milliseconds()))
 }
