--- a/internal/pool/advice.go
+++ b/internal/pool/advice.go
@@ -35,14 +35,11 @@
 	// adviceBatchSize is the number of workers that the owner asks about in one request;
 	// the adviser's response time grows with it.
 	adviceBatchSize = 30
-	// adviceTimeoutMargin is added to the time that the adviser takes for maxAdviceRequests
-	// requests, as the queue specifies it.
+	// adviceTimeoutMargin is added to the time that the adviser takes for a request, as the
+	// queue specifies it.
 	adviceTimeoutMargin = 2 * time.Second
 	// adviceRetry is the delay after a failed request.
 	adviceRetry = 300 * time.Millisecond
-	// maxAdviceRequests limits the requests in flight; the adviser processes the requests
-	// of one host one after the other.
-	maxAdviceRequests = 2
 )
 
 // stepAdvice holds the adviser's responses for a step. Whether a worker may run the step
@@ -113,7 +110,9 @@
 // askAdviser requests advice for steps with unassigned task groups.
 func (o *Owner) askAdviser() {
 	for _, g := range o.readyTaskGroups() {
-		if o.adviceRequestsInFlight >= maxAdviceRequests {
+		// The adviser handles the requests of a host one after the other: a second one would
+		// only wait, and count that as its own time.
+		if o.adviceInFlight {
 			return
 		}
 		if !g.job.queue.Advised {
@@ -161,13 +160,13 @@
 func (o *Owner) sendAdviceRequest(g *taskGroup, workers []model.WorkerID) {
 	a := g.step.ensureAdvice()
 	a.inFlight = true
-	o.adviceRequestsInFlight++
+	o.adviceInFlight = true
 	o.pendingCalls = append(o.pendingCalls, Call{
 		Advise: &AdviseOrder{
 			Step:    fmt.Sprintf("%s.%d.%d", g.job.id(), g.occurrence.number, g.step.index),
 			Workers: workers,
 		},
-		Sent: o.now, Timeout: adviceTimeoutMargin + g.job.queue.AdviceTime(len(workers))*maxAdviceRequests, step: g.step,
+		Sent: o.now, Timeout: adviceTimeoutMargin + g.job.queue.AdviceTime(len(workers)), step: g.step,
 	})
 }
 
@@ -180,7 +179,7 @@
 // AdviseDone handles the result of a request to the adviser.
 func (o *Owner) AdviseDone(call Call, advice Advice, err error, now time.Time) {
 	o.now = now
-	o.adviceRequestsInFlight--
+	o.adviceInFlight = false
 	a := call.step.ensureAdvice()
 	a.inFlight = false
 	if err != nil {
@@ -188,7 +187,9 @@
 		o.emit(event.AdviceMissing, event.Subject{}, event.Fields{"step": call.Advise.Step, "workers": len(call.Advise.Workers), "why": err.Error()})
 		return
 	}
-	renewed, validUntil := 0, call.Sent.Add(advice.ValidFor)
+	// The adviser issues the tickets with its response. Were the time of the request counted, they
+	// could expire before their arrival, each time that the step asks for them.
+	renewed, validUntil := 0, now.Add(advice.ValidFor)
 	for _, id := range call.Advise.Workers {
 		w, known := o.workers.get(id)
 		ticketText, allowed := advice.Tickets[id]
@@ -199,13 +200,12 @@
 		case !allowed:
 			a.denied[id] = true
 		case known:
-			// The validity starts with the response; counting from the request is safe.
 			a.tickets[id] = ticket{text: ticketText, incarnation: w.Incarnation, validUntil: validUntil}
 		}
 	}
 	o.emit(event.AdviceTaken, event.Subject{}, event.Fields{
 		"step": call.Advise.Step, "workers": len(call.Advise.Workers), "good": len(advice.Tickets), "renewed": renewed,
-		"took_ms": now.Sub(call.Sent).Milliseconds(), "valid_ms": validUntil.Sub(now).Milliseconds(), "also_in_flight": o.adviceRequestsInFlight,
+		"took_ms": now.Sub(call.Sent).Milliseconds(), "valid_ms": validUntil.Sub(now).Milliseconds(),
 	})
 	o.planNeeded = true
 }
--- a/internal/pool/advice_test.go
+++ b/internal/pool/advice_test.go
@@ -1,6 +1,8 @@
 package pool_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -21,9 +23,17 @@
 
 func allowAll(string, model.WorkerID) bool { return true }
 
+// allowEven allows every second worker.
+func allowEven(_ string, worker model.WorkerID) bool {
+	return strings.ContainsAny(string(worker[len(worker)-1:]), "02468")
+}
+
 func (sim *simulation) whyWaiting(id model.JobID) string {
 	explanation, known := sim.owner.owner.Explain(id)
 	require.True(sim.t, known)
+	if len(explanation.Steps) == 0 {
+		return ""
+	}
 	return explanation.Steps[0].Why
 }
 
@@ -64,5 +74,37 @@
 	require.NotEmpty(t, advice)
 	require.Positive(t, advice[0].Fields["valid_ms"])
 	require.EqualValues(t, 0, advice[0].Fields["renewed"])
-	require.EqualValues(t, 0, advice[0].Fields["also_in_flight"])
+}
+
+// Guards against the livelock of review/6: several jobs of an advised queue come at once, their
+// requests to the adviser wait for one another, and the tickets of each count as expired on arrival,
+// so that the adviser is asked again and nothing starts.
+func TestBurstOfAdvisedJobsStarts(t *testing.T) {
+	sim := startSimulation(t, 6, 8)
+	sim.adviser.validity = 3 * time.Second
+	sim.adviser.allows = allowEven
+	sim.run(time.Second)
+	queue := advisedQueue()
+	queue.AdviceBase = 300 * time.Millisecond
+	var jobs []model.JobID
+	for n := range 6 {
+		jobs = append(jobs, sim.submit(fmt.Sprintf("burst-%d", n), "aso", queue, step(2, 1, 2*time.Second)))
+		sim.run(200 * time.Millisecond)
+	}
+	sim.run(14 * time.Second)
+	for _, id := range jobs {
+		require.Equal(t, workflow.Completed, sim.state(id), sim.whyWaiting(id))
+	}
+}
+
+// Guards against tickets that lose their validity while the adviser works on them: one job alone, whose
+// adviser takes longer for a request than the tickets are valid, never started.
+func TestAdviserThatTakesLongerThanTicketsAreValid(t *testing.T) {
+	sim := startSimulation(t, 1, 4)
+	sim.adviser.validity = 3 * time.Second
+	sim.adviser.allows = allowAll
+	queue := advisedQueue()
+	queue.AdviceBase = 4 * time.Second
+	id := sim.submit("a", "aso", queue, step(2, 1, time.Second))
+	sim.waitFor(15*time.Second, id, workflow.Completed)
 }
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -68,10 +68,10 @@
 	// lastRemovalCheck is when the last check for expired jobs found none.
 	lastRemovalCheck time.Time
 	// pendingCalls are returned by the current or next call of Advance.
-	pendingCalls           []Call
-	claimsInFlight         int
-	lastClaimChoice        time.Time
-	adviceRequestsInFlight int
+	pendingCalls    []Call
+	claimsInFlight  int
+	lastClaimChoice time.Time
+	adviceInFlight  bool
 	// nextDue is the earliest time at which Advance has something to do.
 	nextDue time.Time
 }
