--- a/internal/pool/advance.go
+++ b/internal/pool/advance.go
@@ -224,7 +224,9 @@
 		Checkpoint: m.group.checkpoint,
 	}
 	if m.group.job.queue.Advised {
-		order.Ticket = m.group.step.ticketFor(w, o.now, 0)
+		// A ticket that has expired since is refused.
+		t, _ := m.group.step.ticketFor(w)
+		order.Ticket = t.text
 	}
 	w.extendLease(order.ExpiresMS)
 	m.expiresMS = max(m.expiresMS, order.ExpiresMS)
--- a/internal/pool/advice.go
+++ b/internal/pool/advice.go
@@ -51,10 +51,24 @@
 	retryAt  time.Time
 }
 
+// ticket permits the tasks of a step on an incarnation of a worker.
 type ticket struct {
 	text        string
 	incarnation int64
-	validUntil  time.Time
+	// Until usableUntil the ticket is valid for long enough that a start order can still reach the
+	// worker. From renewAt on it may be requested again.
+	usableUntil time.Time
+	renewAt     time.Time
+}
+
+// newTicket returns a ticket that is valid for a time from now on. The adviser issues tickets with its
+// response. Were the time of the request counted, they could expire before their arrival, each time
+// that the step asks for them.
+func (o *Owner) newTicket(text string, w *worker, validFor time.Duration) ticket {
+	// Both margins are shares of a short validity: with fixed ones such tickets would never be used.
+	margin := min(o.timing.StartExpiry/2, validFor/3)
+	usableUntil := o.now.Add(validFor - margin)
+	return ticket{text: text, incarnation: w.Incarnation, usableUntil: usableUntil, renewAt: usableUntil.Add(-margin)}
 }
 
 func (s *step) ensureAdvice() *stepAdvice {
@@ -64,24 +78,26 @@
 	return s.advice
 }
 
-// ticketFor returns the ticket for a worker; empty if there is none that stays valid for at
-// least margin, so that a start order can still reach the worker.
-func (s *step) ticketFor(w *worker, now time.Time, margin time.Duration) string {
+// ticketFor returns the ticket for this incarnation of a worker, which may have expired.
+func (s *step) ticketFor(w *worker) (ticket, bool) {
 	t, ok := s.ensureAdvice().tickets[w.info.ID]
-	if !ok || t.incarnation != w.Incarnation || now.Add(margin).After(t.validUntil) {
-		return ""
-	}
-	return t.text
+	return t, ok && t.incarnation == w.Incarnation
+}
+
+// hasUsableTicket reports whether the step has a ticket with which a start order can reach a worker.
+func (s *step) hasUsableTicket(w *worker, now time.Time) bool {
+	t, ok := s.ticketFor(w)
+	return ok && !now.After(t.usableUntil)
 }
 
-// allowedWorkers returns the workers with a valid ticket; nil if the queue needs no advice.
+// allowedWorkers returns the workers with a usable ticket; nil if the queue needs no advice.
 func (o *Owner) allowedWorkers(g *taskGroup) map[model.WorkerID]bool {
 	if !g.job.queue.Advised {
 		return nil
 	}
 	allowed := map[model.WorkerID]bool{}
 	for id := range g.step.ensureAdvice().tickets {
-		if w, ok := o.workers.get(id); ok && g.step.ticketFor(w, o.now, o.timing.StartExpiry/2) != "" {
+		if w, ok := o.workers.get(id); ok && g.step.hasUsableTicket(w, o.now) {
 			allowed[id] = true
 		}
 	}
@@ -143,10 +159,10 @@
 		if w.info.Service != g.job.queue.Service || !w.usable(&o.policy) || !fits || a.denied[id] {
 			continue
 		}
-		switch _, known := a.tickets[id]; {
+		switch t, known := a.tickets[id]; {
 		case !known:
 			unknown = append(unknown, id)
-		case g.step.ticketFor(w, o.now, o.timing.StartExpiry) == "":
+		case t.incarnation != w.Incarnation || !o.now.Before(t.renewAt):
 			expired = append(expired, id)
 		}
 	}
@@ -187,9 +203,7 @@
 		o.emit(event.AdviceMissing, event.Subject{}, event.Fields{"step": call.Advise.Step, "workers": len(call.Advise.Workers), "why": err.Error()})
 		return
 	}
-	// The adviser issues the tickets with its response. Were the time of the request counted, they
-	// could expire before their arrival, each time that the step asks for them.
-	renewed, validUntil := 0, now.Add(advice.ValidFor)
+	renewed := 0
 	for _, id := range call.Advise.Workers {
 		w, known := o.workers.get(id)
 		ticketText, allowed := advice.Tickets[id]
@@ -200,12 +214,12 @@
 		case !allowed:
 			a.denied[id] = true
 		case known:
-			a.tickets[id] = ticket{text: ticketText, incarnation: w.Incarnation, validUntil: validUntil}
+			a.tickets[id] = o.newTicket(ticketText, w, advice.ValidFor)
 		}
 	}
 	o.emit(event.AdviceTaken, event.Subject{}, event.Fields{
 		"step": call.Advise.Step, "workers": len(call.Advise.Workers), "good": len(advice.Tickets), "renewed": renewed,
-		"took_ms": now.Sub(call.Sent).Milliseconds(), "valid_ms": validUntil.Sub(now).Milliseconds(),
+		"took_ms": now.Sub(call.Sent).Milliseconds(), "valid_ms": advice.ValidFor.Milliseconds(),
 	})
 	o.planNeeded = true
 }
--- a/internal/pool/advice_test.go
+++ b/internal/pool/advice_test.go
@@ -108,3 +108,14 @@
 	id := sim.submit("a", "aso", queue, step(2, 1, time.Second))
 	sim.waitFor(15*time.Second, id, workflow.Completed)
 }
+
+// Guards against tickets that are never used since they are valid for less time than the owner wants
+// them to have left: every job of the queue waited without an end.
+func TestTicketsOfShortValidityAreUsed(t *testing.T) {
+	for _, validity := range []time.Duration{900 * time.Millisecond, 100 * time.Millisecond} {
+		sim := startSimulation(t, 1, 4)
+		sim.adviser.validity, sim.adviser.allows = validity, allowAll
+		id := sim.submit("a", "aso", advisedQueue(), step(6, 1, time.Second), gang(4, 8, time.Second))
+		sim.waitFor(30*time.Second, id, workflow.Completed)
+	}
+}
