--- a/internal/pool/advice.go
+++ b/internal/pool/advice.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,9 +31,6 @@
 const (
 	// MaxAdviceWorkers is the maximum number of workers that the adviser accepts in a request.
 	MaxAdviceWorkers = 100
-	// adviceBatchSize is the number of workers that the owner asks about in one request;
-	// the adviser's response time grows with it.
-	adviceBatchSize = 30
 	// adviceTimeoutMargin is added to the time that the adviser takes for a request, as the
 	// queue specifies it.
 	adviceTimeoutMargin = 2 * time.Second
@@ -49,6 +45,8 @@
 	denied   map[model.WorkerID]bool
 	inFlight bool
 	retryAt  time.Time
+	// grantedAt is when the adviser last allowed a worker.
+	grantedAt time.Time
 }
 
 // ticket permits the tasks of a step on an incarnation of a worker.
@@ -123,54 +121,21 @@
 	return "no request is in flight"
 }
 
-// askAdviser requests advice for steps with unassigned task groups.
+// askAdviser sends the most urgent request to the adviser.
 func (o *Owner) askAdviser() {
-	for _, g := range o.readyTaskGroups() {
-		// The adviser handles the requests of a host one after the other: a second one would
-		// only wait, and count that as its own time.
-		if o.adviceInFlight {
-			return
-		}
-		if !g.job.queue.Advised {
-			continue
-		}
-		a := g.step.ensureAdvice()
-		if a.inFlight {
-			continue
-		}
-		if o.now.Before(a.retryAt) {
-			o.wakeAt(a.retryAt)
-			continue
-		}
-		if workers := o.workersToAsk(g); len(workers) > 0 {
-			o.sendAdviceRequest(g, workers)
-		}
+	// The adviser handles the requests of a host one after the other: a second one would only wait
+	// for the first.
+	if o.adviceInFlight || o.index.advised == 0 {
+		return
 	}
-}
-
-// workersToAsk lists workers to ask about: allowed ones whose ticket has expired, then
-// unknown ones, those with the most free accelerators first.
-func (o *Owner) workersToAsk(g *taskGroup) []model.WorkerID {
-	a := g.step.ensureAdvice()
-	var expired, unknown []model.WorkerID
-	for id, w := range o.workers.all() {
-		fits := g.step.spec.Demand().Fits(w.info.Capacity) &&
-			(g.step.spec.RequiredLabel == "" || slices.Contains(w.info.Labels, g.step.spec.RequiredLabel))
-		if w.info.Service != g.job.queue.Service || !w.usable(&o.policy) || !fits || a.denied[id] {
-			continue
-		}
-		switch t, known := a.tickets[id]; {
-		case !known:
-			unknown = append(unknown, id)
-		case t.incarnation != w.Incarnation || !o.now.Before(t.renewAt):
-			expired = append(expired, id)
-		}
+	if o.now.Before(o.nextAdviceCheck) {
+		o.wakeAt(o.nextAdviceCheck)
+		return
+	}
+	o.nextAdviceCheck = o.now.Add(o.timing.PlanInterval)
+	if need := o.mostUrgentAdvice(); need != nil {
+		o.sendAdviceRequest(need.group, need.workers)
 	}
-	slices.SortStableFunc(unknown, func(a, b model.WorkerID) int {
-		return o.workers.getOrZero(b).free().Accelerators - o.workers.getOrZero(a).free().Accelerators
-	})
-	workers := slices.Concat(expired, unknown)
-	return workers[:min(len(workers), adviceBatchSize)]
 }
 
 func (o *Owner) sendAdviceRequest(g *taskGroup, workers []model.WorkerID) {
@@ -215,6 +180,7 @@
 			a.denied[id] = true
 		case known:
 			a.tickets[id] = o.newTicket(ticketText, w, advice.ValidFor)
+			a.grantedAt = now
 		}
 	}
 	o.emit(event.AdviceTaken, event.Subject{}, event.Fields{
--- a/internal/pool/advice_test.go
+++ b/internal/pool/advice_test.go
@@ -119,3 +119,78 @@
 		sim.waitFor(30*time.Second, id, workflow.Completed)
 	}
 }
+
+// Guards against steps that can't start and keep the adviser to themselves: their tickets were renewed
+// again and again, and the adviser was never asked about the step of a later job.
+func TestStepsThatDontFitLeaveTheAdviserToOthers(t *testing.T) {
+	sim := startSimulation(t, 2, 8)
+	sim.adviser.validity, sim.adviser.allows = 3*time.Second, allowAll
+	sim.run(time.Second)
+	for n := range 6 {
+		sim.submit(fmt.Sprintf("wide-%d", n), "aso", advisedQueue(), gang(17, 8, time.Second))
+	}
+	sim.run(5 * time.Second)
+	id := sim.submit("small", "aso", advisedQueue(), step(2, 1, time.Second))
+	sim.waitFor(5*time.Second, id, workflow.Completed)
+}
+
+// Guards against requests that name many more workers than the step needs, so that the jobs of a burst
+// wait for each other's advice longer than finish_s allows.
+func TestBurstOfAdvisedJobsEndsInTime(t *testing.T) {
+	const jobs, gap = 22, 180 * time.Millisecond
+	sim := startSimulation(t, 6, 8)
+	sim.adviser.validity, sim.adviser.allows = 3*time.Second, allowEven
+	sim.run(time.Second)
+	queue := advisedQueue()
+	queue.AdviceBase = 300 * time.Millisecond
+	for n := range jobs {
+		sim.submit(fmt.Sprintf("burst-%d", n), "aso", queue, step(2, 1, 2*time.Second))
+		sim.run(gap)
+	}
+	sim.run(14 * time.Second)
+	for n := range jobs {
+		id := model.JobID(fmt.Sprintf("burst-%d", n))
+		require.NotEqual(t, workflow.Queued, sim.state(id), "%s: %s", id, sim.whyWaiting(id))
+	}
+}
+
+// Guards against urgent work that waits until the adviser has been asked for all jobs that came before.
+func TestAdviserIsAskedForUrgentWorkFirst(t *testing.T) {
+	sim := startSimulation(t, 6, 8)
+	sim.adviser.validity, sim.adviser.allows = 3*time.Second, allowEven
+	sim.policy.Guarantees["aso"] = 8
+	sim.owner.reload()
+	sim.run(time.Second)
+	for n := range 20 {
+		sim.submit(fmt.Sprintf("batch-%d", n), "kuju", advisedQueue(), step(2, 1, 2*time.Second))
+	}
+	sim.run(100 * time.Millisecond)
+	urgent := advisedQueue()
+	urgent.Priority = 0
+	id := sim.submit("urgent", "aso", urgent, step(2, 1, 5*time.Second))
+	sim.waitFor(2900*time.Millisecond, id, workflow.Running)
+}
+
+// Guards against a gang on many workers that never holds the tickets for all of them at once, since they
+// are requested in parts and the first ones expire meanwhile.
+func TestWideGangGetsItsTicketsTogether(t *testing.T) {
+	sim := startSimulation(t, 10, 8)
+	sim.adviser.validity, sim.adviser.allows = 3*time.Second, allowAll
+	id := sim.submit("wide", "aso", advisedQueue(), gang(70, 8, time.Second))
+	sim.waitFor(30*time.Second, id, workflow.Completed)
+}
+
+// Guards against tasks that run far from their data although there is room beside it: the adviser was not
+// asked about the workers of that rack.
+func TestAdviceNamesTheWorkersBesideTheData(t *testing.T) {
+	sim := startSimulation(t, 6, 8)
+	sim.adviser.validity, sim.adviser.allows = 3*time.Second, allowEven
+	sim.run(time.Second)
+	near := step(4, 1, time.Second)
+	near.DataRack = "r5"
+	id := sim.submit("near", "aso", advisedQueue(), near)
+	sim.waitFor(10*time.Second, id, workflow.Completed)
+	for worker, f := range sim.workers {
+		require.True(t, f.endCount == 0 || f.info.Rack == "r5", "%s ran a task", worker)
+	}
+}
--- a/internal/pool/index.go
+++ b/internal/pool/index.go
@@ -10,6 +10,8 @@
 type index struct {
 	// waiting are the unassigned task groups, including those of steps that are not ready.
 	waiting orderedMap[plan.TaskGroupID, *taskGroup]
+	// advised counts those of them that need advice.
+	advised int
 	// urgent are the task groups of priority 0 that hold or may hold resources.
 	urgent orderedMap[plan.TaskGroupID, *taskGroup]
 	// usage counts the accelerators of the task groups that hold or may hold resources.
@@ -35,6 +37,9 @@
 	switch {
 	case g.state() == taskGroupWaiting:
 		x.waiting.set(g.id, g)
+		if g.job.queue.Advised {
+			x.advised++
+		}
 	case g.holdsResources():
 		x.usage[g.usageKey()] += g.accelerators()
 		if g.job.queue.Priority == 0 {
@@ -48,6 +53,9 @@
 	switch {
 	case g.state() == taskGroupWaiting:
 		x.waiting.remove(g.id)
+		if g.job.queue.Advised {
+			x.advised--
+		}
 	case g.holdsResources():
 		x.usage[g.usageKey()] -= g.accelerators()
 		x.urgent.remove(g.id)
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -71,7 +71,9 @@
 	pendingCalls    []Call
 	claimsInFlight  int
 	lastClaimChoice time.Time
+	// nextAdviceCheck is the earliest time to look for the next request to the adviser.
 	adviceInFlight  bool
+	nextAdviceCheck time.Time
 	// nextDue is the earliest time at which Advance has something to do.
 	nextDue time.Time
 }
--- a/internal/pool/planning.go
+++ b/internal/pool/planning.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"iter"
 	"maps"
 	"math"
 	"slices"
@@ -46,16 +47,27 @@
 		return
 	}
 	o.wakeAt(o.now.Add(replanInterval))
+	for service, snapshot := range o.snapshots(waiting, o.planTaskGroup) {
+		o.updatePeaks(service, snapshot)
+		for _, placement := range plan.Plan(snapshot) {
+			o.assign(placement)
+		}
+	}
+}
+
+// snapshots returns the planner's view of each service for which task groups wait, in the order of
+// their names. planGroup returns the planner's view of a task group.
+func (o *Owner) snapshots(waiting []*taskGroup, planGroup func(*taskGroup) *plan.TaskGroup) iter.Seq2[model.ServiceID, *plan.Snapshot] {
 	byService := map[model.ServiceID][]*plan.TaskGroup{}
 	for _, g := range waiting {
 		service := g.job.queue.Service
-		byService[service] = append(byService[service], o.planTaskGroup(g))
+		byService[service] = append(byService[service], planGroup(g))
 	}
-	for _, service := range slices.Sorted(maps.Keys(byService)) {
-		snapshot := o.snapshot(service, byService[service])
-		o.updatePeaks(service, snapshot)
-		for _, placement := range plan.Plan(snapshot) {
-			o.assign(placement)
+	return func(yield func(model.ServiceID, *plan.Snapshot) bool) {
+		for _, service := range slices.Sorted(maps.Keys(byService)) {
+			if !yield(service, o.snapshot(service, byService[service])) {
+				return
+			}
 		}
 	}
 }
--- a/internal/workflow/record.go
+++ b/internal/workflow/record.go
@@ -30,6 +30,15 @@
 	return q.AdviceBase + time.Duration(workers)*q.AdvicePerWorker
 }
 
+// WorkersWithinAdviceBase returns for how many workers the adviser takes as long as the base of a
+// request alone; 0 if the base or the time for each worker is not known.
+func (q *Queue) WorkersWithinAdviceBase() int {
+	if q.AdvicePerWorker <= 0 {
+		return 0
+	}
+	return int(q.AdviceBase / q.AdvicePerWorker)
+}
+
 // Record is a job as it was accepted. The host that accepts the job writes it once.
 type Record struct {
 	ID model.JobID `json:"id"`
