--- a/internal/pool/advice.go
+++ b/internal/pool/advice.go
@@ -34,17 +34,43 @@
 	// adviceTimeoutMargin is added to the time that the adviser takes for a request, as the
 	// queue specifies it.
 	adviceTimeoutMargin = 2 * time.Second
+	// maxAdviceTimeoutFactor limits the growth of the timeout after requests without a response.
+	maxAdviceTimeoutFactor = 8
 	// adviceRetry is the delay after a failed request.
 	adviceRetry = 300 * time.Millisecond
 )
 
+// adviserState is the state of the requests to the adviser.
+type adviserState struct {
+	inFlight bool
+	// nextCheck is the earliest time to look for the next request, retryAt the earliest time to send
+	// it after a failed one.
+	nextCheck, retryAt time.Time
+	// timeoutFactor multiplies the timeout of a request.
+	timeoutFactor time.Duration
+}
+
+// done notes the outcome of a request. The adviser may go on with a request that was given up, so that
+// the next one waits behind it and needs more time.
+func (a *adviserState) done(call *Call, err error, now time.Time) {
+	a.inFlight = false
+	switch {
+	case err == nil:
+		a.timeoutFactor = 1
+	case now.Sub(call.Sent) >= call.Timeout:
+		a.timeoutFactor = min(2*a.timeoutFactor, maxAdviceTimeoutFactor)
+	}
+	if err != nil {
+		a.retryAt = now.Add(adviceRetry)
+	}
+}
+
 // stepAdvice holds the adviser's responses for a step. Whether a worker may run the step
 // never changes; tickets expire.
 type stepAdvice struct {
 	tickets  map[model.WorkerID]ticket
 	denied   map[model.WorkerID]bool
 	inFlight bool
-	retryAt  time.Time
 	// grantedAt is when the adviser last allowed a worker.
 	grantedAt time.Time
 }
@@ -125,14 +151,16 @@
 func (o *Owner) askAdviser() {
 	// The adviser handles the requests of a host one after the other: a second one would only wait
 	// for the first.
-	if o.adviceInFlight || o.index.advised == 0 {
+	if o.adviser.inFlight || o.index.advised == 0 {
 		return
 	}
-	if o.now.Before(o.nextAdviceCheck) {
-		o.wakeAt(o.nextAdviceCheck)
-		return
+	for _, earliest := range []time.Time{o.adviser.nextCheck, o.adviser.retryAt} {
+		if o.now.Before(earliest) {
+			o.wakeAt(earliest)
+			return
+		}
 	}
-	o.nextAdviceCheck = o.now.Add(o.timing.PlanInterval)
+	o.adviser.nextCheck = o.now.Add(o.timing.PlanInterval)
 	if need := o.mostUrgentAdvice(); need != nil {
 		o.sendAdviceRequest(need.group, need.workers)
 	}
@@ -141,13 +169,13 @@
 func (o *Owner) sendAdviceRequest(g *taskGroup, workers []model.WorkerID) {
 	a := g.step.ensureAdvice()
 	a.inFlight = true
-	o.adviceInFlight = true
+	o.adviser.inFlight = true
 	o.pendingCalls = append(o.pendingCalls, Call{
 		Advise: &AdviseOrder{
 			Step:    fmt.Sprintf("%s.%d.%d", g.job.id(), g.occurrence.number, g.step.index),
 			Workers: workers,
 		},
-		Sent: o.now, Timeout: adviceTimeoutMargin + g.job.queue.AdviceTime(len(workers)), step: g.step,
+		Sent: o.now, Timeout: o.adviser.timeoutFactor * (adviceTimeoutMargin + g.job.queue.AdviceTime(len(workers))), step: g.step,
 	})
 }
 
@@ -160,12 +188,11 @@
 // AdviseDone handles the result of a request to the adviser.
 func (o *Owner) AdviseDone(call Call, advice Advice, err error, now time.Time) {
 	o.now = now
-	o.adviceInFlight = false
+	o.adviser.done(&call, err, now)
 	a := call.step.ensureAdvice()
 	a.inFlight = false
 	if err != nil {
-		a.retryAt = now.Add(adviceRetry)
-		o.emit(event.AdviceMissing, event.Subject{}, event.Fields{"step": call.Advise.Step, "workers": len(call.Advise.Workers), "why": err.Error()})
+		o.emit(event.AdviceMissing, event.Subject{}, event.Fields{"step": call.Advise.Step, "workers": len(call.Advise.Workers), "timeout_ms": call.Timeout.Milliseconds(), "why": err.Error()})
 		return
 	}
 	renewed := 0
--- a/internal/pool/advice_test.go
+++ b/internal/pool/advice_test.go
@@ -194,3 +194,19 @@
 		require.True(t, f.endCount == 0 || f.info.Rack == "r5", "%s ran a task", worker)
 	}
 }
+
+// Guards against requests that are given up while the adviser still works on them: the next one waits
+// behind them and is given up as well, without an end.
+func TestAdviserSlowerThanItsQueueSays(t *testing.T) {
+	sim := startSimulation(t, 1, 4)
+	sim.adviser.validity, sim.adviser.allows, sim.adviser.slowness = 3*time.Second, allowAll, 10
+	queue := advisedQueue()
+	for n := range 4 {
+		sim.submit(fmt.Sprintf("slow-%d", n), "aso", queue, step(2, 1, time.Second))
+	}
+	sim.run(time.Minute)
+	for n := range 4 {
+		id := model.JobID(fmt.Sprintf("slow-%d", n))
+		require.Equal(t, workflow.Completed, sim.state(id), sim.whyWaiting(id))
+	}
+}
--- a/internal/pool/adviceorder.go
+++ b/internal/pool/adviceorder.go
@@ -67,10 +67,6 @@
 			continue
 		}
 		seen[g.step] = true
-		if a := g.step.ensureAdvice(); o.now.Before(a.retryAt) {
-			o.wakeAt(a.retryAt)
-			continue
-		}
 		if need := o.adviceNeedOf(g, wanted[g.step]); need != nil && (best == nil || compareAdviceNeeds(need, best) < 0) {
 			best = need
 		}
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -71,9 +71,7 @@
 	pendingCalls    []Call
 	claimsInFlight  int
 	lastClaimChoice time.Time
-	// nextAdviceCheck is the earliest time to look for the next request to the adviser.
-	adviceInFlight  bool
-	nextAdviceCheck time.Time
+	adviser         adviserState
 	// nextDue is the earliest time at which Advance has something to do.
 	nextDue time.Time
 }
@@ -96,6 +94,7 @@
 		reclaims:   map[reclaimKey]ReclaimReport{},
 
 		unlistedWorkers: map[model.WorkerID]unlistedWorker{},
+		adviser:         adviserState{timeoutFactor: 1},
 		crashRate:       crashes.NewRate(now),
 		crashRecord:     recordState{key: store.PoolCrashesKey},
 		silences: silences{
