--- a/internal/pool/advice_test.go
+++ b/internal/pool/advice_test.go
@@ -210,3 +210,13 @@
 		require.Equal(t, workflow.Completed, sim.state(id), sim.whyWaiting(id))
 	}
 }
+
+// Guards against workers that are never asked about in a pool where only some are claimed: the adviser
+// denies all of these, and the job waits beside free workers without an end.
+func TestAdviserDeniesAllClaimedWorkers(t *testing.T) {
+	sim := startSimulation(t, 30, 8)
+	sim.adviser.validity = 3 * time.Second
+	sim.adviser.allows = func(_ string, worker model.WorkerID) bool { return strings.HasPrefix(string(worker), "w29-") }
+	id := sim.submit("a", "aso", advisedQueue(), step(2, 1, time.Second))
+	sim.waitFor(60*time.Second, id, workflow.Completed)
+}
--- a/internal/pool/claims.go
+++ b/internal/pool/claims.go
@@ -57,6 +57,9 @@
 	// racks and labels are those that waiting task groups require.
 	racks  map[string]bool
 	labels map[string]bool
+	// denied are the most that the adviser has denied to one step. They are claimed in addition, so
+	// that the step finds others.
+	denied deniedWorkers
 }
 
 func (o *Owner) claimNeeds(waiting []*taskGroup) map[model.ServiceID]*claimNeed {
@@ -70,9 +73,14 @@
 	for _, w := range o.workers.all() {
 		needOf(w.info.Service)
 	}
+	denied, counted := map[model.ServiceID]deniedWorkers{}, map[*step]bool{}
 	for _, g := range waiting {
 		need := needOf(g.job.queue.Service)
 		spec := g.step.spec
+		if g.step.advice != nil && !counted[g.step] {
+			counted[g.step] = true
+			denied[g.job.queue.Service] = denied[g.job.queue.Service].max(o.deniedTo(g.step))
+		}
 		need.accelerators += g.tasks() * max(1, spec.PerTask.Accelerators)
 		if spec.DataRack != "" {
 			need.racks[spec.DataRack] = true
@@ -81,14 +89,41 @@
 			need.labels[spec.RequiredLabel] = true
 		}
 	}
+	for service, found := range denied {
+		needs[service].denied = found
+	}
 	return needs
 }
 
+// deniedWorkers is what the workers that the adviser has denied to a step hold.
+type deniedWorkers struct {
+	freeAccelerators int
+	idleWorkers      int
+}
+
+func (d deniedWorkers) max(other deniedWorkers) deniedWorkers {
+	return deniedWorkers{max(d.freeAccelerators, other.freeAccelerators), max(d.idleWorkers, other.idleWorkers)}
+}
+
+func (o *Owner) deniedTo(s *step) deniedWorkers {
+	var found deniedWorkers
+	for id := range s.advice.denied {
+		if w, ok := o.workers.get(id); ok && w.claimWanted {
+			found.freeAccelerators += w.free().Accelerators
+			if w.members.len() == 0 {
+				found.idleWorkers++
+			}
+		}
+	}
+	return found
+}
+
 // wantWorkers marks workers to claim, rack by rack, until the claimed ones have enough free
 // accelerators and enough of them are idle, and all workers on the racks or with the labels
 // that task groups require.
 func (o *Owner) wantWorkers(service model.ServiceID, need *claimNeed) {
-	accelerators, idleWorkers := int(claimFactor*float64(need.accelerators)), need.idleWorkers
+	accelerators := int(claimFactor*float64(need.accelerators)) + need.denied.freeAccelerators
+	idleWorkers := need.idleWorkers + need.denied.idleWorkers
 	for _, w := range o.workersByRack() {
 		if w.info.Service != service || !w.Listed || w.Draining || o.policy.ZonesOutOfService[w.info.Zone] {
 			continue
