--- a/internal/pool/advice.go
+++ b/internal/pool/advice.go
@@ -79,8 +79,9 @@
 type ticket struct {
 	text        string
 	incarnation int64
-	// Until usableUntil the ticket is valid for long enough that a start order can still reach the
-	// worker. From renewAt on it may be requested again.
+	validUntil  time.Time
+	// Until usableUntil the ticket is valid for long enough to place a task by it. From renewAt on it
+	// may be requested again.
 	usableUntil time.Time
 	renewAt     time.Time
 }
@@ -91,8 +92,11 @@
 func (o *Owner) newTicket(text string, w *worker, validFor time.Duration) ticket {
 	// Both margins are shares of a short validity: with fixed ones such tickets would never be used.
 	margin := min(o.timing.StartExpiry/2, validFor/3)
-	usableUntil := o.now.Add(validFor - margin)
-	return ticket{text: text, incarnation: w.Incarnation, usableUntil: usableUntil, renewAt: usableUntil.Add(-margin)}
+	validUntil := o.now.Add(validFor)
+	return ticket{
+		text: text, incarnation: w.Incarnation,
+		validUntil: validUntil, usableUntil: validUntil.Add(-margin), renewAt: validUntil.Add(-2 * margin),
+	}
 }
 
 func (s *step) ensureAdvice() *stepAdvice {
@@ -108,12 +112,27 @@
 	return t, ok && t.incarnation == w.Incarnation
 }
 
-// hasUsableTicket reports whether the step has a ticket with which a start order can reach a worker.
+// hasUsableTicket reports whether the step has a ticket by which a task can be placed on a worker.
 func (s *step) hasUsableTicket(w *worker, now time.Time) bool {
 	t, ok := s.ticketFor(w)
 	return ok && !now.After(t.usableUntil)
 }
 
+// hasValidTickets reports whether the tickets of an assigned task group are still valid. Without them
+// its starts would be refused.
+func (o *Owner) hasValidTickets(g *taskGroup) bool {
+	if !g.job.queue.Advised {
+		return true
+	}
+	for _, m := range g.members {
+		t, ok := g.step.ticketFor(o.workers.getOrZero(m.workerID))
+		if !ok || !o.now.Before(t.validUntil) {
+			return false
+		}
+	}
+	return true
+}
+
 // allowedWorkers returns the workers with a usable ticket; nil if the queue needs no advice.
 func (o *Owner) allowedWorkers(g *taskGroup) map[model.WorkerID]bool {
 	if !g.job.queue.Advised {
--- a/internal/pool/advice_test.go
+++ b/internal/pool/advice_test.go
@@ -6,10 +6,12 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/chervilrun/chervilrun/internal/event"
 	"github.com/chervilrun/chervilrun/internal/model"
+	"github.com/chervilrun/chervilrun/internal/pool"
 	"github.com/chervilrun/chervilrun/internal/workflow"
 )
 
@@ -220,3 +222,25 @@
 	id := sim.submit("a", "aso", advisedQueue(), step(2, 1, time.Second))
 	sim.waitFor(60*time.Second, id, workflow.Completed)
 }
+
+// Guards against starts that are bound to be refused: a ticket that has expired while the assignment was
+// recorded is not sent.
+func TestExpiredTicketIsNotSent(t *testing.T) {
+	sim := startSimulation(t, 1, 4)
+	sim.adviser.validity, sim.adviser.allows = 500*time.Millisecond, allowAll
+	refused := 0
+	sim.alterResponse = func(call pool.Call, inventory pool.Inventory, err error) (pool.Inventory, error) {
+		if errors.Is(err, pool.ErrTicketRefused) {
+			refused++
+		}
+		return inventory, err
+	}
+	sim.run(time.Second)
+	id := sim.submit("a", "aso", advisedQueue(), step(2, 1, time.Second))
+	sim.run(300 * time.Millisecond)
+	sim.storeDown = true
+	sim.run(3 * time.Second)
+	sim.storeDown = false
+	sim.waitFor(10*time.Second, id, workflow.Completed)
+	require.Zero(t, refused)
+}
--- a/internal/pool/runs.go
+++ b/internal/pool/runs.go
@@ -61,7 +61,7 @@
 	for _, g := range o.assigned {
 		switch {
 		case g.state() != taskGroupAssigned:
-		case g.job.isTerminal() || !o.workersUsable(g):
+		case g.job.isTerminal() || !o.workersUsable(g) || !o.hasValidTickets(g):
 			o.unassign(g)
 		case o.now.Sub(g.placedAt) > o.timing.AssignmentTimeout:
 			o.unassign(g)
