--- a/internal/pool/advice.go
+++ b/internal/pool/advice.go
@@ -65,11 +65,12 @@
 	}
 }
 
-// stepAdvice holds the adviser's responses for a step. Whether a worker may run the step
-// never changes; tickets expire.
+// stepAdvice holds the adviser's responses for a step. Whether an incarnation of a worker may run
+// the step never changes; tickets expire.
 type stepAdvice struct {
-	tickets  map[model.WorkerID]ticket
-	denied   map[model.WorkerID]bool
+	tickets map[model.WorkerID]ticket
+	// denied holds the incarnations that may not run the step.
+	denied   map[model.WorkerID]int64
 	inFlight bool
 	// grantedAt is when the adviser last allowed a worker.
 	grantedAt time.Time
@@ -101,11 +102,17 @@
 
 func (s *step) ensureAdvice() *stepAdvice {
 	if s.advice == nil {
-		s.advice = &stepAdvice{tickets: map[model.WorkerID]ticket{}, denied: map[model.WorkerID]bool{}}
+		s.advice = &stepAdvice{tickets: map[model.WorkerID]ticket{}, denied: map[model.WorkerID]int64{}}
 	}
 	return s.advice
 }
 
+// isDenied reports whether the adviser has denied this incarnation of a worker.
+func (a *stepAdvice) isDenied(w *worker) bool {
+	incarnation, ok := a.denied[w.info.ID]
+	return ok && incarnation == w.Incarnation
+}
+
 // ticketFor returns the ticket for this incarnation of a worker, which may have expired.
 func (s *step) ticketFor(w *worker) (ticket, bool) {
 	t, ok := s.ensureAdvice().tickets[w.info.ID]
@@ -189,11 +196,12 @@
 	a := g.step.ensureAdvice()
 	a.inFlight = true
 	o.adviser.inFlight = true
+	order := &AdviseOrder{Step: fmt.Sprintf("%s.%d.%d", g.job.id(), g.occurrence.number, g.step.index), Workers: workers}
+	for _, id := range workers {
+		order.incarnations = append(order.incarnations, o.incarnationOf(id))
+	}
 	o.pendingCalls = append(o.pendingCalls, Call{
-		Advise: &AdviseOrder{
-			Step:    fmt.Sprintf("%s.%d.%d", g.job.id(), g.occurrence.number, g.step.index),
-			Workers: workers,
-		},
+		Advise: order,
 		Sent: o.now, Timeout: o.adviser.timeoutFactor * (adviceTimeoutMargin + g.job.queue.AdviceTime(len(workers))), step: g.step,
 	})
 }
@@ -202,6 +210,8 @@
 type AdviseOrder struct {
 	Step    string
 	Workers []model.WorkerID
+	// incarnations are those of the workers, as they were known when the request was made.
+	incarnations []int64
 }
 
 // AdviseDone handles the result of a request to the adviser.
@@ -215,19 +225,21 @@
 		return
 	}
 	renewed := 0
-	for _, id := range call.Advise.Workers {
+	for i, id := range call.Advise.Workers {
 		w, known := o.workers.get(id)
+		if !known || w.Incarnation != call.Advise.incarnations[i] {
+			continue
+		}
 		ticketText, allowed := advice.Tickets[id]
-		if _, had := a.tickets[id]; had && allowed {
-			renewed++
+		if !allowed {
+			a.denied[id] = w.Incarnation
+			continue
 		}
-		switch {
-		case !allowed:
-			a.denied[id] = true
-		case known:
-			a.tickets[id] = o.newTicket(ticketText, w, advice.ValidFor)
-			a.grantedAt = now
+		if _, had := a.tickets[id]; had {
+			renewed++
 		}
+		a.tickets[id] = o.newTicket(ticketText, w, advice.ValidFor)
+		a.grantedAt = now
 	}
 	o.emit(event.AdviceTaken, event.Subject{}, event.Fields{
 		"step": call.Advise.Step, "workers": len(call.Advise.Workers), "good": len(advice.Tickets), "renewed": renewed,
--- a/internal/pool/advice_test.go
+++ b/internal/pool/advice_test.go
@@ -244,3 +244,22 @@
 	sim.waitFor(10*time.Second, id, workflow.Completed)
 	require.Zero(t, refused)
 }
+
+// Guards against a denial that outlives the worker that it was given for: a worker that comes back under
+// its ID may be of another kind.
+func TestDenialEndsWithTheIncarnation(t *testing.T) {
+	sim := startSimulation(t, 1, 4)
+	allowed := false
+	sim.adviser.validity = 3 * time.Second
+	sim.adviser.allows = func(string, model.WorkerID) bool { return allowed }
+	id := sim.submit("a", "aso", advisedQueue(), step(2, 1, time.Second))
+	require.True(t, sim.runUntil(5*time.Second, func() bool {
+		return strings.Contains(sim.whyWaiting(id), "the adviser has denied 4 workers")
+	}), sim.whyWaiting(id))
+	allowed = true
+	for _, worker := range sim.ids {
+		sim.workers[worker].crash()
+	}
+	sim.owner.reload()
+	sim.waitFor(30*time.Second, id, workflow.Completed)
+}
--- a/internal/pool/adviceorder.go
+++ b/internal/pool/adviceorder.go
@@ -134,8 +134,8 @@
 func (o *Owner) possibleWorkers(s *step) (possible, unknown map[model.WorkerID]bool) {
 	a := s.ensureAdvice()
 	possible, unknown = map[model.WorkerID]bool{}, map[model.WorkerID]bool{}
-	for id := range o.workers.all() {
-		if a.denied[id] {
+	for id, w := range o.workers.all() {
+		if a.isDenied(w) {
 			continue
 		}
 		possible[id] = true
@@ -196,7 +196,7 @@
 	for id, w := range o.workers.all() {
 		fits := g.step.spec.Demand().Fits(w.info.Capacity) &&
 			(g.step.spec.RequiredLabel == "" || slices.Contains(w.info.Labels, g.step.spec.RequiredLabel))
-		if w.info.Service != g.job.queue.Service || !w.usable(&o.policy) || !fits || a.denied[id] || slices.Contains(others, id) {
+		if w.info.Service != g.job.queue.Service || !w.usable(&o.policy) || !fits || a.isDenied(w) || slices.Contains(others, id) {
 			continue
 		}
 		switch t, known := a.tickets[id]; {
--- a/internal/pool/claims.go
+++ b/internal/pool/claims.go
@@ -108,7 +108,7 @@
 func (o *Owner) deniedTo(s *step) deniedWorkers {
 	var found deniedWorkers
 	for id := range s.advice.denied {
-		if w, ok := o.workers.get(id); ok && w.claimWanted {
+		if w, ok := o.workers.get(id); ok && w.claimWanted && s.advice.isDenied(w) {
 			found.freeAccelerators += w.free().Accelerators
 			if w.members.len() == 0 {
 				found.idleWorkers++
