--- a/internal/pool/advance.go
+++ b/internal/pool/advance.go
@@ -30,6 +30,7 @@
 	// incarnation is that of the worker, as it was known when the call was made.
 	incarnation   int64
 	step          *step
+	queue         *workflow.Queue
 	machineUpkeep *machineUpkeep
 }
 
--- a/internal/pool/advice.go
+++ b/internal/pool/advice.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -16,7 +17,7 @@
 type Advice struct {
 	// Tickets holds the ticket of each worker that may run the step.
 	Tickets map[model.WorkerID]string
-	// ValidFor is how long the tickets are valid after the response.
+	// ValidFor is how long the tickets are valid after the response; 0 if it doesn't say.
 	ValidFor time.Duration
 }
 
@@ -202,7 +203,7 @@
 	}
 	o.pendingCalls = append(o.pendingCalls, Call{
 		Advise: order,
-		Sent: o.now, Timeout: o.adviser.timeoutFactor * (adviceTimeoutMargin + g.job.queue.AdviceTime(len(workers))), step: g.step,
+		Sent:   o.now, Timeout: o.adviser.timeoutFactor * (adviceTimeoutMargin + g.job.queue.AdviceTime(len(workers))), step: g.step, queue: &g.job.queue,
 	})
 }
 
@@ -224,6 +225,7 @@
 		o.emit(event.AdviceMissing, event.Subject{}, event.Fields{"step": call.Advise.Step, "workers": len(call.Advise.Workers), "timeout_ms": call.Timeout.Milliseconds(), "why": err.Error()})
 		return
 	}
+	validFor := cmp.Or(advice.ValidFor, call.queue.TicketValidity, o.timing.StartExpiry)
 	renewed := 0
 	for i, id := range call.Advise.Workers {
 		w, known := o.workers.get(id)
@@ -238,12 +240,12 @@
 		if _, had := a.tickets[id]; had {
 			renewed++
 		}
-		a.tickets[id] = o.newTicket(ticketText, w, advice.ValidFor)
+		a.tickets[id] = o.newTicket(ticketText, w, validFor)
 		a.grantedAt = now
 	}
 	o.emit(event.AdviceTaken, event.Subject{}, event.Fields{
 		"step": call.Advise.Step, "workers": len(call.Advise.Workers), "good": len(advice.Tickets), "renewed": renewed,
-		"took_ms": now.Sub(call.Sent).Milliseconds(), "valid_ms": advice.ValidFor.Milliseconds(),
+		"took_ms": now.Sub(call.Sent).Milliseconds(), "valid_ms": validFor.Milliseconds(),
 	})
 	o.planNeeded = true
 }
--- a/internal/pool/advice_test.go
+++ b/internal/pool/advice_test.go
@@ -263,3 +263,16 @@
 	sim.owner.reload()
 	sim.waitFor(30*time.Second, id, workflow.Completed)
 }
+
+// Guards against tickets that count as expired since the response doesn't say how long they are valid: the
+// queue says so, else a start is tried with them.
+func TestValidityIsTakenFromTheQueue(t *testing.T) {
+	for _, validity := range []time.Duration{900 * time.Millisecond, 0} {
+		sim := startSimulation(t, 1, 4)
+		sim.adviser.validity, sim.adviser.allows, sim.adviser.omitsValidity = 900*time.Millisecond, allowAll, true
+		queue := advisedQueue()
+		queue.TicketValidity = validity
+		id := sim.submit("a", "aso", queue, step(2, 1, time.Second))
+		sim.waitFor(10*time.Second, id, workflow.Completed)
+	}
+}
--- a/internal/pool/adviser_simulation_test.go
+++ b/internal/pool/adviser_simulation_test.go
@@ -24,6 +24,8 @@
 	allows func(step string, worker model.WorkerID) bool
 	// validity is how long tickets are valid; 0 means ticketValidity.
 	validity time.Duration
+	// omitsValidity makes responses say nothing of the validity.
+	omitsValidity bool
 	// slowness multiplies the time that a request takes; 0 means 1.
 	slowness int
 	// busyUntil is when the last request of each owner has been handled.
@@ -71,6 +73,9 @@
 	}
 	sim.after(done.Sub(sim.now()), func() {
 		advice := pool.Advice{Tickets: map[model.WorkerID]string{}, ValidFor: adviser.ticketValidity()}
+		if adviser.omitsValidity {
+			advice.ValidFor = 0
+		}
 		for _, id := range call.Advise.Workers {
 			if sim.workers[id] != nil && adviser.allows(call.Advise.Step, id) {
 				advice.Tickets[id] = sim.ticket(call.Advise.Step, id)
--- a/internal/workflow/record.go
+++ b/internal/workflow/record.go
@@ -19,10 +19,12 @@
 	Stretch float64       `json:"stretch"`
 	Slack   time.Duration `json:"slack"`
 	// Advised is true when the adviser is asked which workers may run a step. A request
-	// takes AdviceBase, plus AdvicePerWorker for each worker that it names.
+	// takes AdviceBase, plus AdvicePerWorker for each worker that it names. TicketValidity is how
+	// long its tickets are valid, unless a response says otherwise; 0 if that is not known.
 	Advised         bool          `json:"advised,omitempty"`
 	AdviceBase      time.Duration `json:"advice_base,omitempty"`
 	AdvicePerWorker time.Duration `json:"advice_each,omitempty"`
+	TicketValidity  time.Duration `json:"ticket_validity,omitempty"`
 }
 
 // AdviceTime returns how long the adviser takes for a request about a number of workers.
