--- a/internal/pool/advice_test.go
+++ b/internal/pool/advice_test.go
@@ -276,3 +276,21 @@
 		sim.waitFor(10*time.Second, id, workflow.Completed)
 	}
 }
+
+// Guards against a gang that never holds the tickets for all of its workers at once: it asked only for the
+// missing ones, and meanwhile the others expired, by turns.
+func TestGangRenewsItsTicketsTogether(t *testing.T) {
+	sim := startSimulation(t, 1, 6)
+	sim.adviser.validity, sim.adviser.allows = 1300*time.Millisecond, allowAll
+	blocker := sim.submit("blocker", "aso", normalQueue(), step(1, 8, 6*time.Second))
+	sim.waitFor(time.Second, blocker, workflow.Running)
+	queue := advisedQueue()
+	queue.AdviceBase = 1200 * time.Millisecond
+	id := sim.submit("a", "aso", queue, gang(6, 8, time.Second))
+	sim.run(3300 * time.Millisecond)
+	for _, worker := range []model.WorkerID{"w0-4", "w0-5"} {
+		sim.workers[worker].crash()
+	}
+	sim.owner.reload()
+	sim.waitFor(30*time.Second, id, workflow.Completed)
+}
--- a/internal/pool/adviceorder.go
+++ b/internal/pool/adviceorder.go
@@ -78,12 +78,22 @@
 // on which its task groups would be placed if it had all tickets.
 func (o *Owner) adviceNeedOf(g *taskGroup, planned []model.WorkerID) *adviceNeed {
 	if len(planned) > 0 {
-		missing := slices.DeleteFunc(planned, func(id model.WorkerID) bool {
-			return g.step.hasUsableTicket(o.workers.getOrZero(id), o.now)
-		})
+		var missing, usable []model.WorkerID
+		for _, id := range planned {
+			if g.step.hasUsableTicket(o.workers.getOrZero(id), o.now) {
+				usable = append(usable, id)
+			} else {
+				missing = append(missing, id)
+			}
+		}
 		if len(missing) == 0 {
 			return nil
 		}
+		if g.step.spec.Gang {
+			// The members of a gang need their tickets at the same time. The usable ones may
+			// expire before the response arrives.
+			missing = append(missing, usable...)
+		}
 		return &adviceNeed{group: g, workers: o.completeBatch(g, missing), startable: true}
 	}
 	workers := o.workersToAsk(g, nil)
@@ -154,7 +164,6 @@
 		_, known := a.tickets[id]
 		return !known
 	}
-	slices.SortStableFunc(missing, func(x, y model.WorkerID) int { return compareBools(isUnknown(x), isUnknown(y)) })
 	unknown := 0
 	for _, id := range missing {
 		if isUnknown(id) {
@@ -170,7 +179,6 @@
 	}
 	limit := adviceBatchSize
 	if g.step.spec.Gang {
-		// The members of a gang need their tickets at the same time.
 		limit = max(limit, min(len(missing), MaxAdviceWorkers))
 	}
 	batch := missing[:min(len(missing), limit)]
