--- a/internal/pool/advice.go
+++ b/internal/pool/advice.go
@@ -55,10 +55,10 @@
 // the next one waits behind it and needs more time.
 func (a *adviserState) done(call *Call, err error, now time.Time) {
 	a.inFlight = false
-	switch {
-	case err == nil:
-		a.timeoutFactor = 1
-	case now.Sub(call.Sent) >= call.Timeout:
+	switch took := now.Sub(call.Sent); {
+	case err == nil && 2*took < call.Timeout:
+		a.timeoutFactor = max(1, a.timeoutFactor/2)
+	case err != nil && took >= call.Timeout:
 		a.timeoutFactor = min(2*a.timeoutFactor, maxAdviceTimeoutFactor)
 	}
 	if err != nil {
--- a/internal/pool/advice_test.go
+++ b/internal/pool/advice_test.go
@@ -294,3 +294,22 @@
 	sim.owner.reload()
 	sim.waitFor(30*time.Second, id, workflow.Completed)
 }
+
+// Guards against an adviser that is slower than its queue says and is given too little time again after
+// each response: most of its work is for requests that were given up.
+func TestTimeForASlowAdviserIsKept(t *testing.T) {
+	const jobs = 6
+	sim := startSimulation(t, 1, 4)
+	sim.adviser.validity, sim.adviser.allows, sim.adviser.slowness = 3*time.Second, allowAll, 10
+	for n := range jobs {
+		sim.submit(fmt.Sprintf("slow-%d", n), "aso", advisedQueue(), step(2, 1, time.Second))
+	}
+	sim.run(time.Minute)
+	requests := 0
+	for n := range jobs {
+		id := model.JobID(fmt.Sprintf("slow-%d", n))
+		require.Equal(t, workflow.Completed, sim.state(id), sim.whyWaiting(id))
+		requests += sim.adviser.requests[fmt.Sprintf("%s.0.0", id)]
+	}
+	require.LessOrEqual(t, requests, jobs+3)
+}
