--- a/internal/pool/advance.go
+++ b/internal/pool/advance.go
@@ -261,21 +261,22 @@
 }
 
 func (o *Owner) sendRenewals() {
+	var unclaimed []*worker
 	for _, w := range o.workers.all() {
-		if w.renewalInFlight || !w.claimed && !o.mayClaim(w) {
+		if w.renewalInFlight || !w.claimed && !w.claimDue() {
 			continue
 		}
 		if o.now.Before(w.nextRenewal) {
 			o.wakeAt(w.nextRenewal)
 			continue
 		}
-		o.sendRenewal(w)
+		if w.claimed {
+			o.sendRenewal(w)
+		} else {
+			unclaimed = append(unclaimed, w)
+		}
 	}
-}
-
-// mayClaim reports whether a lease renewal may be sent to a worker that is not claimed.
-func (o *Owner) mayClaim(w *worker) bool {
-	return w.members.len() > 0 || w.orphans.len() > 0 || w.claimWanted && o.claimsInFlight < maxClaimsInFlight
+	o.sendClaims(unclaimed)
 }
 
 func (o *Owner) sendRenewal(w *worker) {
@@ -293,7 +294,7 @@
 	}
 	w.renewalInFlight = true
 	if !w.claimed {
-		w.claimInFlight = true
+		w.claimInFlight, w.claimSentAt = true, o.now
 		o.claimsInFlight++
 	}
 	o.pendingCalls = append(o.pendingCalls, Call{Target: w.target(), Renew: &order, Sent: o.now, Timeout: o.timing.CallTimeout + order.Wait, worker: w, incarnation: w.Incarnation})
--- a/internal/pool/claims.go
+++ b/internal/pool/claims.go
@@ -26,6 +26,22 @@
 	idleClaimedWorkers = 64
 )
 
+// claimDue reports whether a worker that is not claimed has to be.
+func (w *worker) claimDue() bool {
+	return w.members.len() > 0 || w.orphans.len() > 0 || w.claimWanted
+}
+
+// sendClaims sends the claims that are due. Workers that have waited longest go first, so that those
+// that don't respond leave claims to others.
+func (o *Owner) sendClaims(due []*worker) {
+	slices.SortStableFunc(due, func(a, b *worker) int { return a.claimSentAt.Compare(b.claimSentAt) })
+	for _, w := range due {
+		if w.members.len() > 0 || w.orphans.len() > 0 || o.claimsInFlight < maxClaimsInFlight {
+			o.sendRenewal(w)
+		}
+	}
+}
+
 // chooseClaims marks the workers to claim.
 func (o *Owner) chooseClaims(waiting []*taskGroup) {
 	if o.now.Sub(o.lastClaimChoice) < claimInterval {
--- a/internal/pool/worker.go
+++ b/internal/pool/worker.go
@@ -16,9 +16,10 @@
 	// claimed is true once the worker has responded to a lease renewal of this owner.
 	claimed bool
 	// claimWanted is true once the worker is to be claimed, claimInFlight while a claim is
-	// in flight.
+	// in flight. claimSentAt is when the latest one was sent.
 	claimWanted   bool
 	claimInFlight bool
+	claimSentAt   time.Time
 	// clockMS is the reading of the worker's clock received at clockReadAt.
 	clockMS     int64
 	clockReadAt time.Time
