--- a/internal/pool/advice_test.go
+++ b/internal/pool/advice_test.go
@@ -136,6 +136,20 @@
 	sim.waitFor(5*time.Second, id, workflow.Completed)
 }
 
+// Guards against a job that could start at once and waits until all steps that can't have had their turn.
+func TestAdviserIsAskedForWhatCanStartFirst(t *testing.T) {
+	sim := startSimulation(t, 2, 8)
+	sim.adviser.validity, sim.adviser.allows = 3*time.Second, allowAll
+	sim.run(time.Second)
+	for n := range 12 {
+		sim.submit(fmt.Sprintf("wide-%02d", n), "aso", advisedQueue(), gang(17, 8, time.Second))
+	}
+	sim.run(12 * time.Second)
+	id := sim.submit("small", "aso", advisedQueue(), step(2, 1, 10*time.Second))
+	// At most one request is handled before its own.
+	sim.waitFor(2*time.Second, id, workflow.Running)
+}
+
 // Guards against requests that name many more workers than the step needs, so that the jobs of a burst
 // wait for each other's advice longer than finish_s allows.
 func TestBurstOfAdvisedJobsEndsInTime(t *testing.T) {
@@ -245,6 +259,15 @@
 	require.Zero(t, refused)
 }
 
+// Guards against a wide gang that waits beside workers that would be enough: those that the adviser has
+// denied count among the claimed ones.
+func TestWideGangBesideDeniedWorkers(t *testing.T) {
+	sim := startSimulation(t, 30, 8)
+	sim.adviser.validity, sim.adviser.allows = 3*time.Second, allowEven
+	id := sim.submit("a", "aso", advisedQueue(), gang(100, 8, time.Second))
+	sim.waitFor(60*time.Second, id, workflow.Completed)
+}
+
 // Guards against a denial that outlives the worker that it was given for: a worker that comes back under
 // its ID may be of another kind.
 func TestDenialEndsWithTheIncarnation(t *testing.T) {
