--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -89,7 +89,7 @@
 		workers:    newOrderedMap[model.WorkerID, *worker](),
 		taskGroups: map[plan.TaskGroupID]*taskGroup{},
 		index:      newIndex(),
-		upkeep:     upkeep{history: map[upkeepID]*machineUpkeep{}},
+		upkeep:     upkeep{history: map[upkeepID]*machineUpkeep{}, ordersFrom: map[MachineID]time.Time{}},
 		peaks:      map[peakKey]peak{},
 		reclaims:   map[reclaimKey]ReclaimReport{},
 
--- a/internal/pool/upkeep.go
+++ b/internal/pool/upkeep.go
@@ -86,6 +86,9 @@
 	// history holds the upkeep of every machine that an order may have been sent for, also of
 	// waves that operators have removed since.
 	history map[upkeepID]*machineUpkeep
+	// ordersFrom holds, for each machine that an earlier owner may have given an order for, when this
+	// owner may do so.
+	ordersFrom map[MachineID]time.Time
 	// changed lists the upkeeps that may have unrecorded changes.
 	changed  []*machineUpkeep
 	machines map[MachineID]Machine
@@ -305,9 +308,11 @@
 	if !m.begunAt.IsZero() || m.inFlight || !m.isRecorded() {
 		return
 	}
-	if o.now.Before(m.retryAt) {
-		o.wakeAt(m.retryAt)
-		return
+	for _, earliest := range []time.Time{m.retryAt, o.upkeep.ordersFrom[m.id.machine]} {
+		if o.now.Before(earliest) {
+			o.wakeAt(earliest)
+			return
+		}
 	}
 	if machine := o.upkeep.machines[m.id.machine]; machine.Up && !o.drainMachine(machine, behind) {
 		return
--- a/internal/pool/upkeep_test.go
+++ b/internal/pool/upkeep_test.go
@@ -182,6 +182,32 @@
 	}
 }
 
+// Guards against two owners that order the upkeep of one machine within the gap for different waves
+// (review/9). The simulation checks each order.
+func TestTwoOwnersKeepTheGapOverWaves(t *testing.T) {
+	for _, ownerDies := range []bool{false, true} {
+		t.Run(fmt.Sprintf("owner dies %v", ownerDies), func(t *testing.T) {
+			sim := startSimulation(t, 1, 4)
+			sim.maxMachinesDown = 4
+			sim.run(500 * time.Millisecond)
+			first, second := sim.waveOfAll(1, 20*time.Second), sim.waveOfAll(2, 20*time.Second)
+			first.MaxDown, second.MaxDown = 4, 4
+			sim.requestWaves(first)
+			require.True(t, sim.runUntil(5*time.Second, func() bool { return len(sim.machineOrders) == 4 }))
+			sim.owner.stopped = true
+			if ownerDies {
+				sim.run(time.Second)
+			}
+			sim.takeOver()
+			sim.requestWaves(first, second)
+			for number := 1; number <= 2; number++ {
+				require.True(t, sim.runUntil(time.Minute, func() bool { return sim.waveState(number) == "completed" }))
+			}
+			require.Len(t, sim.machinesDone, 8)
+		})
+	}
+}
+
 // Guards against a worker that counts as crashed, with the tasks that were on it as suspects,
 // although its upkeep was ordered by an earlier owner.
 func TestUpkeepOfAnEarlierOwnerIsNoCrash(t *testing.T) {
--- a/internal/pool/upkeeprecord.go
+++ b/internal/pool/upkeeprecord.go
@@ -72,9 +72,9 @@
 	if record.Begun {
 		m.begunAt = o.startedAt
 	}
-	// Two owners must not give orders for one machine within MachineOrderGap. It counts from when
-	// an order of the earlier owner can last arrive.
-	m.retryAt = o.startedAt.Add(o.timing.OrderPermission + machineTimeout + o.timing.MachineOrderGap)
+	// Two owners must not give orders for one machine within MachineOrderGap, whatever the wave. It
+	// counts from when an order of the earlier owner can last arrive.
+	o.upkeep.ordersFrom[id.machine] = o.startedAt.Add(o.timing.OrderPermission + machineTimeout + o.timing.MachineOrderGap)
 	m.restore(kv.ModRevision)
 	for _, w := range o.upkeep.waves {
 		w.statusWritten = w.statusWritten || w.Number == id.wave
