--- a/internal/pool/planning.go
+++ b/internal/pool/planning.go
@@ -245,6 +245,7 @@
 		Started:      g.placedAt,
 		WorkRate:     plan.Cores(spec.PerTask) * float64(g.tasks()),
 		Preemptible:  (g.state() == taskGroupStarting || g.state() == taskGroupRunning) && !spec.LongRunning,
+		LongRunning:  spec.LongRunning,
 	}
 	if spec.Checkpoints {
 		g.cachedPlanRun.MaxLoss = checkpointStopLoss
--- a/internal/scheduler/pool/plan_test.go
+++ b/internal/scheduler/pool/plan_test.go
@@ -420,3 +420,28 @@
 	placements := pool.Plan(s)
 	require.Equal(t, map[string]bool{"r1": true}, racksOf(s, placements[0]))
 }
+
+// batchBeside adds 64 batch tasks of lower priority to the snapshot and returns how many are placed.
+func batchBeside(s *pool.Snapshot) int {
+	for i := range 64 {
+		g := taskGroup(fmt.Sprintf("batch%02d", i), 1, 1)
+		g.Priority, g.Step = 2, ""
+		s.Waiting = append(s.Waiting, g)
+	}
+	return len(pool.Plan(s))
+}
+
+// Guards against a gang that can never be placed, beside runs that only end when they are cancelled, and
+// keeps all free resources from work of lower priority (review/7).
+func TestGangThatCanNeverFitReservesNothing(t *testing.T) {
+	s := &pool.Snapshot{Now: begin, Workers: workers(4)}
+	for i, w := range s.Workers {
+		run := &pool.Run{TaskGroup: pool.TaskGroupID(fmt.Sprintf("lasting%02d", i)), LongRunning: true}
+		addRun(s, run, resources(1), w.ID)
+		run.Preemptible = false
+	}
+	gang := taskGroup("gang", 16, 0)
+	gang.Priority, gang.Demand = 0, model.Resources{MilliCPU: 8000, MemoryMB: 8000}
+	s.Waiting = []*pool.TaskGroup{gang}
+	require.Equal(t, 64, batchBeside(s))
+}
--- a/internal/scheduler/pool/pool.go
+++ b/internal/scheduler/pool/pool.go
@@ -105,6 +105,8 @@
 	MaxLoss time.Duration
 	// Preemptible is true for runs that are starting or running, except long-running ones.
 	Preemptible bool
+	// LongRunning is true for runs that hold their resources until their job is cancelled.
+	LongRunning bool
 }
 
 // Allocation is the resources that a run holds on a worker.
--- a/internal/scheduler/pool/reserve.go
+++ b/internal/scheduler/pool/reserve.go
@@ -45,11 +45,12 @@
 }
 
 // chooseReservations chooses resources on the workers and also returns the number of tasks
-// that fit at once. It returns none if the task group would not fit even on empty workers.
+// that fit at once. It returns none if the task group would not fit even if all runs but
+// long-running ones had ended.
 func (p *planner) chooseReservations(group *TaskGroup, workers []int) ([]reservation, int) {
 	candidates := make([]int, 0, len(workers))
 	for _, i := range workers {
-		if w := &p.workers[i]; p.allowed(group, w, true) && group.Demand.Fits(w.Capacity) && !p.reservedWorkers[i] {
+		if w := &p.workers[i]; p.allowed(group, w, true) && group.Demand.Fits(w.attainable()) && !p.reservedWorkers[i] {
 			candidates = append(candidates, i)
 		}
 	}
@@ -79,6 +80,17 @@
 	return chosen, freeSlots
 }
 
+// attainable is the part of the worker's resources that becomes free without a cancellation.
+func (w *Worker) attainable() model.Resources {
+	resources := w.Capacity
+	for _, run := range w.Runs {
+		if run.LongRunning {
+			resources = resources.Sub(run.allocatedOn(w.ID))
+		}
+	}
+	return resources
+}
+
 // applyReservations subtracts from the free resources what is reserved for work more
 // urgent than the priority.
 func (p *planner) applyReservations(priority int) {
