--- a/internal/model/resources.go
+++ b/internal/model/resources.go
@@ -36,6 +36,15 @@
 	return r
 }
 
+// Share returns a share of r, from 0 to 1, rounded down.
+func (r Resources) Share(share float64) Resources {
+	return Resources{
+		Accelerators: int(share * float64(r.Accelerators)),
+		MilliCPU:     int64(share * float64(r.MilliCPU)),
+		MemoryMB:     int64(share * float64(r.MemoryMB)),
+	}
+}
+
 // Fits reports whether r is at most free in every dimension.
 func (r Resources) Fits(free Resources) bool {
 	return r.Accelerators <= free.Accelerators &&
--- a/internal/scheduler/pool/headroom.go
+++ b/internal/scheduler/pool/headroom.go
@@ -1,5 +1,7 @@
 package pool
 
+import "github.com/chervilrun/chervilrun/internal/model"
+
 // headroom keeps whole workers free for more urgent work that is likely to arrive: as many as
 // it would need to reach its recent peak usage again. Only task groups with slack leave them
 // free. Urgent gangs can then start at once without stopping other runs.
@@ -13,19 +15,21 @@
 
 func (p *planner) computeHeadroom() {
 	p.headroom = headroom{emptyByRack: map[string]int{}, keepEmpty: map[int]int{}}
-	capacity, largest := 0, 1
+	var total model.Resources
+	largest := 1
 	for i := range p.workers {
 		w := &p.workers[i]
-		capacity += w.Capacity.Accelerators
+		total = total.Add(w.Capacity)
 		largest = max(largest, w.Capacity.Accelerators)
 		if w.isEmpty() {
 			p.headroom.emptyByRack[w.Rack]++
 			p.headroom.emptyWorkers++
 		}
 	}
-	p.reservableAccelerators = int(maxReservedShare * float64(capacity))
+	p.reservable = total.Share(maxReservedShare)
+	p.reservableAccelerators = p.reservable.Accelerators
 	for priority, peak := range p.snapshot.PeakUsage {
-		missing := min(peak-p.snapshot.UsageAbove(priority), int(maxHeadroomShare*float64(capacity)))
+		missing := min(peak-p.snapshot.UsageAbove(priority), int(maxHeadroomShare*float64(total.Accelerators)))
 		p.headroom.keepEmpty[priority] = max(0, (missing+largest-1)/largest)
 	}
 }
--- a/internal/scheduler/pool/plan.go
+++ b/internal/scheduler/pool/plan.go
@@ -34,9 +34,11 @@
 	headroom      headroom
 	// emptyOnly restricts the search to empty workers.
 	emptyOnly bool
-	// reservations are not yet subtracted from the free resources; reservableAccelerators
-	// may still be reserved, and reservedWorkers have a reservation.
+	// reservations are not yet subtracted from the free resources; reservable may still be
+	// reserved, and reservedWorkers have a reservation. reservableAccelerators limits what the
+	// task groups with reservations ask for.
 	reservations           []reservation
+	reservable             model.Resources
 	reservableAccelerators int
 	reservedWorkers        map[int]bool
 }
--- a/internal/scheduler/pool/plan_test.go
+++ b/internal/scheduler/pool/plan_test.go
@@ -445,3 +445,17 @@
 	s.Waiting = []*pool.TaskGroup{gang}
 	require.Equal(t, 64, batchBeside(s))
 }
+
+// Guards against reservations beyond their share of the pool: a task group that asks for few accelerators,
+// and much of something else, withholds whole workers.
+func TestReservationsAreBoundedByWhatTheyWithhold(t *testing.T) {
+	s := &pool.Snapshot{Now: begin, Workers: workers(4)}
+	for i, w := range s.Workers {
+		addRun(s, &pool.Run{TaskGroup: pool.TaskGroupID(fmt.Sprintf("run%02d", i)), Priority: 1}, resources(1), w.ID)
+	}
+	gang := taskGroup("gang", 16, 0)
+	gang.Demand = model.Resources{MilliCPU: 8000, MemoryMB: 8000}
+	s.Waiting = []*pool.TaskGroup{gang}
+	// 2 of 16 workers are within the share: 14 workers have 7 free slots each.
+	require.Equal(t, 64, batchBeside(s))
+}
--- a/internal/scheduler/pool/reserve.go
+++ b/internal/scheduler/pool/reserve.go
@@ -7,8 +7,8 @@
 	"github.com/chervilrun/chervilrun/internal/model"
 )
 
-// maxReservedShare limits the accelerators that are reserved, and may thus stay idle, as a
-// share of the pool.
+// maxReservedShare limits the resources that are reserved, and may thus stay idle, as a share of
+// the pool.
 const maxReservedShare = 0.15
 
 // reservation is resources on a worker that work of lower priority must not use.
@@ -37,10 +37,14 @@
 	}
 	if best != nil {
 		p.reservableAccelerators -= group.accelerators()
-		p.reservations = append(p.reservations, best...)
-		for _, r := range best {
-			p.reservedWorkers[r.workerIndex] = true
+	}
+	for _, r := range best {
+		if !r.resources.Fits(p.reservable) {
+			continue
 		}
+		p.reservable = p.reservable.Sub(r.resources)
+		p.reservations = append(p.reservations, r)
+		p.reservedWorkers[r.workerIndex] = true
 	}
 }
 
