--- a/internal/pool/quarantine.go
+++ b/internal/pool/quarantine.go
@@ -66,6 +66,11 @@
 // group avoid it.
 func (o *Owner) recordWorkerFailure(g *taskGroup, id model.WorkerID) {
 	g.avoid(id)
+	if g.step.spec.LongRunning {
+		// Such tasks may fail at any time without a fault of the worker, and they have to start again
+		// soon. They avoid the worker themselves.
+		return
+	}
 	if o.quarantine.RecordFailure(id, g.job.id(), o.now) {
 		o.emit(event.WorkerQuarantined, event.Subject{Worker: string(id), Job: string(g.job.id())}, event.Fields{"piece": g.key})
 	}
--- a/internal/pool/quarantine_test.go
+++ b/internal/pool/quarantine_test.go
@@ -43,6 +43,34 @@
 	require.True(t, sim.runUntil(10*time.Second, func() bool { return sim.runningTasks() == 24 }))
 }
 
+// Guards against long-running tasks that fail by themselves and have no run for many seconds beside free
+// workers (review/10): their failures put these workers into quarantine, for longer each time.
+func TestFailingLongRunningTasksStartAgainOnFreeWorkers(t *testing.T) {
+	const ruleBound = 9 * time.Second
+	sim := startSimulation(t, 1, 4)
+	full := step(2, 8, time.Second)
+	full.LongRunning = true
+	sim.submit("full", "aso", normalQueue(), full)
+	require.True(t, sim.runUntil(10*time.Second, func() bool { return sim.runningTasks() == 2 }))
+	sim.failAfter = func(run *fakeRun) (bool, time.Duration) { return run.task.Job != "full", 1500 * time.Millisecond }
+	jobs := []model.JobID{"first", "second"}
+	for _, id := range jobs {
+		sim.submit(string(id), "aso", normalQueue(), serving())
+	}
+	lastRun := map[model.JobID]time.Time{jobs[0]: sim.now(), jobs[1]: sim.now()}
+	for range 900 {
+		sim.run(100 * time.Millisecond)
+		for _, f := range sim.workers {
+			for _, run := range f.sortedRuns() {
+				lastRun[run.task.Job] = sim.now()
+			}
+		}
+		for _, id := range jobs {
+			require.LessOrEqual(t, sim.now().Sub(lastRun[id]), ruleBound, id)
+		}
+	}
+}
+
 // However many workers fail, work goes on: the sound ones come first, and of those that fail the
 // ones with a label that a task requires are used all the same.
 func TestWorkGoesOnWhereMostWorkersFail(t *testing.T) {
