--- a/internal/poolhost/host_test.go
+++ b/internal/poolhost/host_test.go
@@ -94,6 +94,11 @@
 	require.NoError(d.t, err)
 }
 
+func (d *deployment) remove(key string) {
+	_, err := d.store.Txn(context.Background(), store.Txn{Then: []store.Op{{Delete: key}}})
+	require.NoError(d.t, err)
+}
+
 // fakeWorkers runs every task until it is stopped or finishTasks is set.
 type fakeWorkers struct {
 	mu          sync.Mutex
--- a/internal/poolhost/jobs.go
+++ b/internal/poolhost/jobs.go
@@ -155,8 +155,9 @@
 // State returns the state of an organisation's job from the owner or, when the owner can't
 // be reached, from the store.
 func (h *Host) State(ctx context.Context, organisation model.OrganisationID, id model.JobID) Response {
-	if cached, ok := h.cachedFinalState(id); ok {
-		return stateResponse(cached.organisation == organisation, cached.state)
+	// A job of another organisation may have had the ID before.
+	if cached, ok := h.cachedFinalState(id); ok && cached.organisation == organisation {
+		return stateResponse(true, cached.state)
 	}
 	if job, ok := h.queryJob(ctx, id); ok && job.Found {
 		state := workflow.State(job.State)
