--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -27,11 +27,13 @@
 
 	// jobs holds all jobs until their retention period is over, active those that have not ended
 	// or still have something running or unrecorded.
-	jobs       orderedMap[model.JobID, *job]
-	active     orderedMap[model.JobID, *job]
-	workers    orderedMap[model.WorkerID, *worker]
-	taskGroups map[plan.TaskGroupID]*taskGroup
-	index      index
+	jobs   orderedMap[model.JobID, *job]
+	active orderedMap[model.JobID, *job]
+	// earlyCancellations are those of jobs that were not known when they were read.
+	earlyCancellations earlyCancellations
+	workers            orderedMap[model.WorkerID, *worker]
+	taskGroups         map[plan.TaskGroupID]*taskGroup
+	index              index
 	// assigned are the task groups that have workers but no start orders yet.
 	assigned []*taskGroup
 	// recoveringTaskGroups have a recorded run of an earlier owner whose state is not yet known
@@ -79,13 +81,16 @@
 // NewOwner returns an owner whose fencing token is fence, the store revision of the owner's key.
 func NewOwner(fence uint64, timing Timing, events *event.Recorder, now time.Time) *Owner {
 	return &Owner{
-		fence:      fence,
-		timing:     timing,
-		events:     events,
-		startedAt:  now,
-		now:        now,
-		jobs:       newOrderedMap[model.JobID, *job](),
-		active:     newOrderedMap[model.JobID, *job](),
+		fence:     fence,
+		timing:    timing,
+		events:    events,
+		startedAt: now,
+		now:       now,
+		jobs:      newOrderedMap[model.JobID, *job](),
+		active:    newOrderedMap[model.JobID, *job](),
+
+		earlyCancellations: newEarlyCancellations(),
+
 		workers:    newOrderedMap[model.WorkerID, *worker](),
 		taskGroups: map[plan.TaskGroupID]*taskGroup{},
 		index:      newIndex(),
@@ -135,6 +140,7 @@
 		}
 	}()
 	o.addJob(j, progress, revision)
+	o.applyEarlyCancellations(j)
 	return nil
 }
 
@@ -231,19 +237,6 @@
 	o.planNeeded = true
 }
 
-// CancelJob cancels a job whose cancellation is durable.
-func (o *Owner) CancelJob(id model.JobID, now time.Time) {
-	o.now = now
-	j, known := o.jobs.get(id)
-	if !known || j.isTerminal() {
-		return
-	}
-	j.cancelled = true
-	o.emit(event.JobCancelled, event.Subject{Job: string(id)}, event.Fields{"began": j.started})
-	o.stopJob(j)
-	o.finishJob(j, workflow.Cancelled)
-}
-
 // stopJob stops every run of a job.
 func (o *Owner) stopJob(j *job) {
 	j.forEachTaskGroup(func(g *taskGroup) { o.stopTaskGroup(g, "job_over") })
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -31,6 +31,8 @@
 	// records are removed.
 	recordWrites   []recordWrite
 	upkeepRemovals []*machineUpkeep
+	// cancellationRemovals are the early cancellations that are removed.
+	cancellationRemovals []*earlyCancellation
 }
 
 // addRecord adds the write of a record that was last written at a revision.
@@ -190,6 +192,7 @@
 	o.waveStatusWritten(call, revision)
 	call.recordsWritten(revision)
 	o.upkeepsRemoved(call, nil)
+	o.earlyCancellationsRemoved(call, nil)
 	for _, j := range call.removals {
 		o.jobs.remove(j.id())
 	}
@@ -216,6 +219,7 @@
 	o.waveStatusConflict(call, values)
 	call.recordsConflict(values)
 	o.upkeepsRemoved(call, values)
+	o.earlyCancellationsRemoved(call, values)
 	for _, write := range call.writes {
 		found := values[store.PoolProgressKey(write.job.id())]
 		if found == nil {
@@ -246,8 +250,8 @@
 // removalInterval is the time to the next check for expired jobs after one that found none.
 const removalInterval = time.Second
 
-// removeExpired returns a transaction that removes jobs, or else upkeeps, whose retention period
-// is over.
+// removeExpired returns a transaction that removes jobs, or else upkeeps, or else early
+// cancellations, whose retention period is over.
 func (o *Owner) removeExpired() *StoreCall {
 	if o.now.Sub(o.lastRemovalCheck) < removalInterval {
 		return nil
@@ -270,11 +274,14 @@
 	if len(call.removals) == 0 {
 		o.removeUnrequestedUpkeeps(call)
 	}
+	if len(call.Txn.Then) == 0 {
+		o.removeEarlyCancellations(call)
+	}
 	if len(call.Txn.Then) == 0 {
 		o.lastRemovalCheck = o.now
 		return nil
 	}
-	o.emit(event.JobsRemoved, event.Subject{}, event.Fields{"jobs": len(call.removals), "upkeeps": len(call.upkeepRemovals)})
+	o.emit(event.JobsRemoved, event.Subject{}, event.Fields{"jobs": len(call.removals), "upkeeps": len(call.upkeepRemovals), "cancellations": len(call.cancellationRemovals)})
 	return call
 }
 
--- a/internal/poolhost/announce.go
+++ b/internal/poolhost/announce.go
@@ -65,13 +65,15 @@
 		if revision <= t.inputRevision {
 			return
 		}
-		if record == nil {
-			t.pendingCancels[id] = true
-		} else if _, _, known := o.Lookup(id); !known {
+		_, _, known := o.Lookup(id)
+		switch {
+		case record == nil && known:
+			// Cancellations are announced only of jobs whose organisation has asked for it.
+			o.CancelJob(pool.Cancellation{Job: id}, now)
+		case record != nil && !known:
 			t.addJob(o, record, now)
 			t.host.Events.RecordFields(event.JobAnnounced, event.Subject{Job: string(id)}, event.Fields{"revision": revision, "watched_revision": t.inputRevision})
 		}
-		t.applyCancels(o, now)
 	})
 	return response
 }
--- a/internal/poolhost/jobs.go
+++ b/internal/poolhost/jobs.go
@@ -193,6 +193,9 @@
 	h.finalStates[id] = finalState{organisation: organisation, state: state}
 }
 
+// maxInputKeys limits the keys of one job that are read: its record and the cancellations of its ID.
+const maxInputKeys = 500
+
 // queryJob asks the owner of the pool for a job; false means that no owner responded.
 func (h *Host) queryJob(ctx context.Context, id model.JobID) (*rpc.PoolJobResponse, bool) {
 	return queryOwner(ctx, h,
@@ -226,7 +229,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeReadTimeout)
 	defer cancel()
 	prefix := store.PoolInputPrefix + string(id) + "/"
-	input, err := h.Store.Range(ctx, prefix, store.PrefixEnd(prefix), 2)
+	input, err := h.Store.Range(ctx, prefix, store.PrefixEnd(prefix), maxInputKeys)
 	if err != nil {
 		return h.storeFailure(event.StateUnread, id, err)
 	}
@@ -234,8 +237,12 @@
 	cancelled := false
 	for _, kv := range input.KeyValues {
 		switch _, kind := store.ParsePoolInput(kv.Key); kind {
-		case store.PoolCancel:
-			cancelled = true
+		case store.PoolCancel, store.PoolEarlyCancel:
+			cancellation, err := workflow.DecodeCancellation(kv.Value)
+			if err != nil {
+				return h.storeFailure(event.StateUnread, id, errors.Wrap(store.ErrResponseLost, err.Error()))
+			}
+			cancelled = cancelled || cancellation.Concerns(organisation)
 		case store.PoolJob:
 			if record, err = workflow.DecodeRecord(kv.Value); err != nil {
 				return h.storeFailure(event.StateUnread, id, errors.Wrap(store.ErrResponseLost, err.Error()))
@@ -271,22 +278,28 @@
 	return progress.State, nil
 }
 
-// Cancel cancels a job. The cancellation is written even if the job doesn't exist, so that
-// a job whose submission is still in progress never runs.
+// Cancel cancels a job of an organisation. The cancellation is written even if the job doesn't
+// exist, so that a job whose submission is still in progress never runs.
 func (h *Host) Cancel(ctx context.Context, organisation model.OrganisationID, id model.JobID) Response {
-	jobKey, cancelKey := store.PoolJobKey(id), store.PoolCancelKey(id)
-	put := []store.Op{{Put: &store.Put{Key: cancelKey, Value: []byte("{}")}}}
-	gets := []store.Op{{Get: cancelKey}, {Get: jobKey}}
-	condition := store.Absent(jobKey)
+	jobKey := store.PoolJobKey(id)
+	value := workflow.Encode(workflow.Cancellation{Organisation: &organisation})
+	cancelKey, condition := store.PoolEarlyCancelKey(id, organisation), store.Absent(jobKey)
 	for {
-		result, err := h.write(ctx, store.Txn{If: []store.Compare{store.Absent(cancelKey), condition}, Then: put, Else: gets})
+		gets := []store.Op{{Get: cancelKey}, {Get: jobKey}}
+		result, err := h.write(ctx, store.Txn{
+			If:   []store.Compare{store.Absent(cancelKey), condition},
+			Then: []store.Op{{Put: &store.Put{Key: cancelKey, Value: value}}}, Else: gets,
+		})
 		if err != nil {
 			return h.storeFailure(event.CancelFailed, id, err)
 		}
+		known := condition.ModRevision != 0
 		if result.Succeeded {
-			h.Events.RecordFields(event.CancelRecorded, event.Subject{Job: string(id)}, event.Fields{"known": condition.ModRevision != 0, "revision": result.Revision})
-			h.announce(id, nil, result.Revision)
-			return stateResponse(condition.ModRevision != 0, workflow.Cancelled)
+			h.Events.RecordFields(event.CancelRecorded, event.Subject{Job: string(id), Organisation: string(organisation)}, event.Fields{"known": known, "revision": result.Revision})
+			if known {
+				h.announce(id, nil, result.Revision)
+			}
+			return stateResponse(known, workflow.Cancelled)
 		}
 		if len(result.Gets) < len(gets) || result.Gets[1] == nil {
 			return stateResponse(false, "")
@@ -295,10 +308,10 @@
 		if err != nil || found.Organisation != organisation {
 			return stateResponse(false, "")
 		}
-		if result.Gets[0] != nil {
+		if known && result.Gets[0] != nil {
 			return stateResponse(true, workflow.Cancelled)
 		}
-		condition = store.Unchanged(jobKey, result.Gets[1].ModRevision)
+		cancelKey, condition = store.PoolCancelKey(id), store.Unchanged(jobKey, result.Gets[1].ModRevision)
 	}
 }
 
--- a/internal/poolhost/term.go
+++ b/internal/poolhost/term.go
@@ -28,11 +28,9 @@
 	// pendingProgress holds the recorded progress of jobs not yet added to the
 	// pool.Owner.
 	pendingProgress map[model.JobID]store.KeyValue
-	// pendingCancels holds the cancelled jobs whose record has not been read yet, and
-	// inputRevision the revision up to which the watch has delivered jobs and
-	// cancellations. They are used only while the loop is locked.
-	pendingCancels map[model.JobID]bool
-	inputRevision  store.Revision
+	// inputRevision is the revision up to which the watch has delivered jobs and
+	// cancellations. It is used only while the loop is locked.
+	inputRevision store.Revision
 
 	mu sync.Mutex
 	// loaded is true once all jobs are loaded; the owner does not act before.
@@ -43,7 +41,7 @@
 
 func (h *Host) beginTerm(fence store.Revision, leaseLeft time.Duration) {
 	ctx, cancel := context.WithCancel(h.ctx)
-	t := &term{host: h, fence: fence, startedAt: h.Clock.Now(), ctx: ctx, cancel: cancel, pendingCancels: map[model.JobID]bool{}}
+	t := &term{host: h, fence: fence, startedAt: h.Clock.Now(), ctx: ctx, cancel: cancel}
 	owner := pool.NewOwner(uint64(fence), termTiming(h.Timing, leaseLeft), h.Events, h.Clock.Now())
 	h.Events.RecordFields(event.OwnershipTaken, event.Subject{Host: h.Name}, event.Fields{"fence": fence})
 	t.loop = pool.NewLoop(owner, pool.Ports{
@@ -233,7 +231,7 @@
 // handleJobInput passes accepted jobs and cancellations to the pool.Owner.
 func (t *term) handleJobInput(state mirror.State) {
 	var jobs []*workflow.Record
-	var cancelled []model.JobID
+	var cancellations []pool.Cancellation
 	for _, key := range state.Changed {
 		kv, ok := state.Keys[key]
 		if !ok {
@@ -245,8 +243,13 @@
 			if record := t.decodeJob(id, kv); record != nil {
 				jobs = append(jobs, record)
 			}
-		case store.PoolCancel:
-			cancelled = append(cancelled, id)
+		case store.PoolCancel, store.PoolEarlyCancel:
+			cancellation, err := workflow.DecodeCancellation(kv.Value)
+			if err != nil {
+				t.host.Events.RecordFields(event.EntryMalformed, event.Subject{Job: string(id)}, event.Fields{"key": kv.Key, "revision": kv.ModRevision, "why": err.Error()})
+				continue
+			}
+			cancellations = append(cancellations, pool.Cancellation{Cancellation: cancellation, Job: id, Key: key, Revision: kv.ModRevision})
 		}
 	}
 	t.loop.Update(func(o *pool.Owner, now time.Time) {
@@ -254,26 +257,15 @@
 		for _, record := range jobs {
 			t.addJob(o, record, now)
 		}
-		for _, id := range cancelled {
-			t.pendingCancels[id] = true
+		for _, cancellation := range cancellations {
+			o.CancelJob(cancellation, now)
 		}
-		t.applyCancels(o, now)
 	})
 	t.mu.Lock()
 	t.loaded = true
 	t.mu.Unlock()
 }
 
-// applyCancels cancels the jobs that are to be cancelled and are known.
-func (t *term) applyCancels(o *pool.Owner, now time.Time) {
-	for id := range t.pendingCancels {
-		if _, _, known := o.Lookup(id); known {
-			o.CancelJob(id, now)
-			delete(t.pendingCancels, id)
-		}
-	}
-}
-
 func (t *term) decodeJob(id model.JobID, kv store.KeyValue) *workflow.Record {
 	record, err := workflow.DecodeRecord(kv.Value)
 	if err != nil {
--- a/internal/store/keys.go
+++ b/internal/store/keys.go
@@ -1,6 +1,8 @@
 package store
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"strings"
 
 	"github.com/chervilrun/chervilrun/internal/model"
@@ -86,9 +88,16 @@
 // PoolJobKey returns the key of an accepted job.
 func PoolJobKey(job model.JobID) string { return PoolInputPrefix + string(job) + poolJobSuffix }
 
-// PoolCancelKey returns the key of the cancellation of a job.
+// PoolCancelKey returns the key of the cancellation of an accepted job.
 func PoolCancelKey(job model.JobID) string { return PoolInputPrefix + string(job) + poolCancelSuffix }
 
+// PoolEarlyCancelKey returns the key of the cancellation by an organisation of a job that has not been
+// accepted yet. Each organisation has its own, since callers choose the IDs of jobs.
+func PoolEarlyCancelKey(job model.JobID, organisation model.OrganisationID) string {
+	hash := sha256.Sum256([]byte(organisation))
+	return PoolCancelKey(job) + "/" + hex.EncodeToString(hash[:8])
+}
+
 // PoolProgressKey returns the key of the progress of a job.
 func PoolProgressKey(job model.JobID) string { return PoolProgressPrefix + string(job) }
 
@@ -100,6 +109,7 @@
 	NoPoolInput PoolInput = iota
 	PoolJob
 	PoolCancel
+	PoolEarlyCancel
 )
 
 // ParsePoolInput returns the job that a key under PoolInputPrefix belongs to and the kind
@@ -115,5 +125,8 @@
 	if id, ok := strings.CutSuffix(rest, poolCancelSuffix); ok {
 		return model.JobID(id), PoolCancel
 	}
+	if id, _, ok := strings.Cut(rest, poolCancelSuffix+"/"); ok {
+		return model.JobID(id), PoolEarlyCancel
+	}
 	return "", NoPoolInput
 }
--- a/internal/workflow/record.go
+++ b/internal/workflow/record.go
@@ -52,6 +52,18 @@
 	Spec     Spec      `json:"spec"`
 }
 
+// Cancellation is the record of a request to cancel a job.
+type Cancellation struct {
+	// Organisation made the request; only a job of it is cancelled. Records of earlier versions
+	// don't name it, and cancel any job.
+	Organisation *model.OrganisationID `json:"organisation,omitempty"`
+}
+
+// Concerns reports whether the request cancels a job of an organisation.
+func (c *Cancellation) Concerns(organisation model.OrganisationID) bool {
+	return c.Organisation == nil || *c.Organisation == organisation
+}
+
 // State is the state of a job as callers see it.
 type State string
 
@@ -127,7 +139,7 @@
 	return found
 }
 
-// Encode returns the JSON encoding of a Record or Progress.
+// Encode returns the JSON encoding of a Record, a Cancellation or a Progress.
 func Encode(value any) []byte {
 	text, err := json.Marshal(value)
 	if err != nil {
@@ -148,6 +160,13 @@
 	return &r, nil
 }
 
+// DecodeCancellation decodes the stored request to cancel a job.
+func DecodeCancellation(text []byte) (Cancellation, error) {
+	var c Cancellation
+	err := json.Unmarshal(text, &c)
+	return c, errors.Wrap(err, "decode the cancellation")
+}
+
 // DecodeProgress decodes the stored progress of a job.
 func DecodeProgress(text []byte) (Progress, error) {
 	var p Progress
