--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -17,6 +17,13 @@
 // allow about 32 operations.
 const recordsPerTransaction = 15
 
+// The most records of each kind in one transaction, so that none waits for all of another kind.
+// Those of crashes and of silent workers take two more.
+const (
+	maxUpkeepRecords = 7
+	maxJobRecords    = recordsPerTransaction - 2
+)
+
 // StoreCall is a transaction to execute. Its Else branch reads the keys of its
 // conditions, to show what has changed if it fails.
 type StoreCall struct {
@@ -86,7 +93,7 @@
 	}
 	call := &StoreCall{Txn: o.newTxn()}
 	o.addUpkeepRecords(call)
-	for _, j := range o.jobsToRecord(recordsPerTransaction - 2 - len(call.recordWrites)) {
+	for _, j := range o.jobsToRecord(maxJobRecords - len(call.recordWrites)) {
 		write := jobWrite{job: j, version: j.version, value: workflow.Encode(j.progress())}
 		call.addRecord(store.PoolProgressKey(j.id()), j.revision, write.value)
 		call.writes = append(call.writes, write)
--- a/internal/pool/upkeep_test.go
+++ b/internal/pool/upkeep_test.go
@@ -347,3 +347,30 @@
 	require.Equal(t, 1, sim.owner.owner.Report().Crashes.Workers)
 	sim.waitFor(time.Minute, id, workflow.Completed)
 }
+
+// Guards against an owner that panics, or whose transactions the store refuses, when many upkeeps change
+// at once while jobs have to be recorded.
+func TestManyUpkeepsAreRecordedBesideJobs(t *testing.T) {
+	// maxEntries is how many conditions and writes the store accepts in one transaction.
+	const maxEntries = 32
+	sim := startSimulation(t, 6, 8)
+	sim.maxMachinesDown = 48
+	sim.onWrite = func(txn store.Txn) { require.LessOrEqual(t, len(txn.If)+len(txn.Then), maxEntries) }
+	sim.run(500 * time.Millisecond)
+	const jobs = 200
+	for i := range jobs {
+		if i == jobs/2 {
+			wave := sim.waveOfAll(1, 0)
+			wave.MaxDown = 48
+			sim.requestWaves(wave)
+			sim.storeDown = true
+			sim.after(200*time.Millisecond, func() { sim.storeDown = false })
+		}
+		sim.submit(fmt.Sprintf("job-%03d", i), "aso", normalQueue(), step(2, 1, 300*time.Millisecond))
+		sim.run(5 * time.Millisecond)
+	}
+	require.True(t, sim.runUntil(time.Minute, func() bool { return sim.waveState(1) == "completed" }))
+	for i := range jobs {
+		sim.waitFor(time.Minute, model.JobID(fmt.Sprintf("job-%03d", i)), workflow.Completed)
+	}
+}
--- a/internal/pool/upkeeprecord.go
+++ b/internal/pool/upkeeprecord.go
@@ -103,7 +103,7 @@
 			continue
 		}
 		remaining = append(remaining, m)
-		if len(call.recordWrites) == recordsPerTransaction-1 {
+		if len(call.recordWrites) == maxUpkeepRecords {
 			continue
 		}
 		added[m] = true
