--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -48,3 +48,25 @@
 	require.NoError(t, reader.Close())
 	sink.Close(time.Minute)
 }
+
+// Guards against a panic of a process that is ending: requests in progress may log after the sink was
+// closed.
+func TestLinesAfterCloseAreDropped(t *testing.T) {
+	sink := logsink.New(&lockedBuffer{}, 4)
+	var writers sync.WaitGroup
+	for range 4 {
+		writers.Go(func() {
+			for range 1000 {
+				_, err := sink.Write([]byte("line\n"))
+				require.NoError(t, err)
+			}
+		})
+	}
+	sink.Close(time.Minute)
+	writers.Wait()
+	dropped := sink.Dropped()
+	_, err := sink.Write([]byte("line\n"))
+	require.NoError(t, err)
+	require.Equal(t, dropped+1, sink.Dropped())
+	sink.Close(time.Minute)
+}
