--- a/internal/pool/advance.go
+++ b/internal/pool/advance.go
@@ -52,7 +52,10 @@
 	o.advanceJobs()
 	o.endProvenRuns()
 	o.expireUnverified()
-	o.updateSilences()
+	if !gate.Loading {
+		// Workers whose runs are not known yet would count as workers without runs.
+		o.updateSilences()
+	}
 	if gate.MayStart {
 		o.advanceUpkeep()
 		o.plan()
--- a/internal/pool/options.go
+++ b/internal/pool/options.go
@@ -98,6 +98,9 @@
 
 // Gate states which effects are allowed at present.
 type Gate struct {
+	// Loading is true until the jobs and the records of earlier owners have all been read. What they
+	// say together may not be judged before.
+	Loading bool
 	// MayStart is true while the ownership is certain and the configuration is confirmed.
 	MayStart bool
 	// MayRenewLeases is true while leases of running tasks may be renewed.
--- a/internal/pool/silence_record_test.go
+++ b/internal/pool/silence_record_test.go
@@ -96,6 +96,34 @@
 	}
 }
 
+// Guards against a wait that begins anew with each owner since it judges the record of silent workers before
+// it has read its jobs: without runs the workers were removed from the record.
+func TestWaitForALostWorkerOutlivesOwnersThatReadTheirJobsLater(t *testing.T) {
+	for _, loadDelay := range []time.Duration{50 * time.Millisecond, 300 * time.Millisecond} {
+		for _, unlisted := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, unlisted %v", loadDelay, unlisted), func(t *testing.T) {
+				sim := startSimulation(t, 1, 4)
+				sim.loadDelay = loadDelay
+				_, f := sim.submitToOneWorker(serving())
+				gone := sim.now()
+				sim.unreachable[f.info.ID] = true
+				sim.run(pool.DefaultTiming(workerLease, retention).RenewalWait + 1500*time.Millisecond)
+				if unlisted {
+					f.unlist()
+				}
+				for _, at := range []time.Duration{4 * time.Second, 5 * time.Second, 6 * time.Second} {
+					sim.run(gone.Add(at).Sub(sim.now()))
+					sim.replaceOwner(0)
+				}
+				require.True(t, sim.runUntil(gone.Add(lostRunBound).Sub(sim.now()), func() bool { return sim.audit.starts == 2 }),
+					"the task is not started again within %s", lostRunBound)
+				sim.run(20 * time.Second)
+				require.Equal(t, 2, sim.audit.starts)
+			})
+		}
+	}
+}
+
 // Two outages of the store 10 s apart, each with a takeover, add no wait of their own: the task is
 // started again with the second owner at the latest.
 func TestWaitForALostWorkerOutlivesStoreOutages(t *testing.T) {
--- a/internal/pool/simulation_test.go
+++ b/internal/pool/simulation_test.go
@@ -77,6 +77,8 @@
 	unawareOwner bool
 	// followsNothing is true while the watch of that host delivers nothing.
 	followsNothing bool
+	// loadDelay is how long after the records and the list of workers new owners read the jobs.
+	loadDelay time.Duration
 	// listFirst gives new owners the list of workers before the records.
 	listFirst bool
 	// onWrite is called with each transaction that is executed; nil for none.
@@ -172,6 +174,8 @@
 	paused    bool
 	renewedAt time.Time
 	renewing  bool
+	// loading is true until the owner has read the jobs.
+	loading bool
 	// advanceAt is the time of the next scheduled call of Advance.
 	advanceAt time.Time
 	loaded    map[model.JobID]bool
@@ -206,6 +210,13 @@
 			require.NoError(sim.t, o.owner.AddRecord(kv, sim.now()))
 		}
 	}
+	if o.loading = sim.loadDelay > 0; o.loading {
+		sim.after(sim.loadDelay, func() {
+			o.loading = false
+			o.reload()
+			o.advanceIn(0)
+		})
+	}
 	o.reload()
 	sim.after(silenceFollowDelay, o.trustSilence)
 	if len(sim.waves) > 0 {
@@ -238,6 +249,9 @@
 }
 
 func (o *fakeOwner) load() {
+	if o.loading || o.stopped {
+		return
+	}
 	sim := o.sim
 	progress := map[model.JobID]store.KeyValue{}
 	for _, kv := range sim.rangeAll(store.PoolProgressPrefix) {
@@ -281,6 +295,9 @@
 		o.renewedAt = o.sim.now()
 	}
 	since := o.sim.now().Sub(o.renewedAt)
+	if o.loading {
+		return pool.Gate{Loading: true}
+	}
 	return pool.Gate{
 		MayStart:       since < ownerLease,
 		MayRecord:      since < ownerLease,
--- a/internal/poolhost/term.go
+++ b/internal/poolhost/term.go
@@ -130,11 +130,12 @@
 	loaded := t.loaded
 	t.mu.Unlock()
 	if !owned {
-		return pool.Gate{}
+		return pool.Gate{Loading: !loaded}
 	}
 	confirmed := renewalAge < permission
 	_, configAge, _ := t.host.config.get()
 	return pool.Gate{
+		Loading:        !loaded,
 		MayStart:       confirmed && loaded && configAge < maxConfigAgeForStarts,
 		MayRecord:      confirmed && loaded,
 		MayRenewLeases: loaded && renewalAge < ownerLeaseTTL+pool.LeaseRenewalGrace,
