--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -31,6 +31,8 @@
 type lostRun struct {
 	group *taskGroup
 	run   int
+	// member is the index of the task within the gang.
+	member int
 	// ranFor is how long the run was on the worker, at most.
 	ranFor time.Duration
 	// alone is true if nothing else ran on the worker.
@@ -132,12 +134,12 @@
 	case since.IsZero() || m.startSentAt.Before(since):
 		since = m.startSentAt
 	}
-	return lostRun{group: m.group, run: m.run, ranFor: max(0, lastAlive.Sub(since))}
+	return lostRun{group: m.group, run: m.run, member: m.index, ranFor: max(0, lastAlive.Sub(since))}
 }
 
 // lostUnverified describes the recorded run of an earlier owner that is lost with its worker.
 func (o *Owner) lostUnverified(m *member) lostRun {
-	lost := lostRun{group: m.group, run: m.run}
+	lost := lostRun{group: m.group, run: m.run, member: m.index}
 	if placedAt := m.group.placedAt; !placedAt.IsZero() {
 		lost.ranFor = max(0, o.now.Sub(placedAt))
 	}
@@ -169,21 +171,43 @@
 // are more crashes than workers have without it.
 func (o *Owner) countCrash(lost lostRun, id model.WorkerID) {
 	g := lost.group
-	if g.finished() || g.job.isTerminal() || g.hasCrashed(lost.run) {
+	if g.finished() || g.job.isTerminal() {
+		return
+	}
+	if i := slices.IndexFunc(g.crashes, func(crash workflow.CrashedRun) bool { return crash.Run == lost.run }); i >= 0 {
+		o.addCrashedMember(g, &g.crashes[i], lost.member)
 		return
 	}
 	rate := o.crashRate.WithoutWork(string(g.id), o.workers.len(), o.now)
 	expected := rate * lost.ranFor.Seconds() * float64(g.tasks())
-	g.crashes = append(g.crashes, workflow.CrashedRun{Run: lost.run, Worker: o.addressOf(id), Alone: lost.alone, Expected: expected})
+	crash := workflow.CrashedRun{Run: lost.run, Worker: o.addressOf(id), Alone: lost.alone, Expected: expected}
+	if g.tasks() > 1 {
+		crash.Members = []int{lost.member}
+	}
+	g.crashes = append(g.crashes, crash)
 	g.crashes = g.crashes[max(0, len(g.crashes)-maxCountedCrashes):]
 	g.avoid(id)
 	o.suspects.set(g.id, g)
 	o.markChanged(g.job)
 	count := g.crashCount()
 	o.emit(event.TaskSuspected, event.Subject{Job: string(g.job.id()), Worker: string(id)}, event.Fields{
-		"piece": g.key, "run": lost.run, "alone": lost.alone, "ran_ms": lost.ranFor.Milliseconds(),
+		"piece": g.key, "run": lost.run, "member": lost.member, "alone": lost.alone, "ran_ms": lost.ranFor.Milliseconds(),
 		"crashes": count.Crashes, "repeated": count.Repeated, "expected": count.Expected, "limit": crashes.Limit,
 	})
+	o.giveUpIfGuilty(g, count)
+}
+
+// addCrashedMember adds a further task of a gang whose worker has crashed in the same run.
+func (o *Owner) addCrashedMember(g *taskGroup, crash *workflow.CrashedRun, member int) {
+	if len(crash.Members) == 0 || slices.Contains(crash.Members, member) {
+		return
+	}
+	crash.Members = append(slices.Clone(crash.Members), member)
+	o.markChanged(g.job)
+	o.giveUpIfGuilty(g, g.crashCount())
+}
+
+func (o *Owner) giveUpIfGuilty(g *taskGroup, count crashes.Count) {
 	// Long-running tasks are started again however they end.
 	if !g.step.spec.LongRunning && count.GivesUp() {
 		o.crashReport.JobsGivenUp++
@@ -191,11 +215,38 @@
 	}
 }
 
-// crashCount sums up the crashes under the task group.
+// crashCount sums up the crashes under the task group. Those under a gang speak against it only as far as
+// one and the same task of it was there: a gang on many workers is there at each crash.
 func (g *taskGroup) crashCount() crashes.Count {
-	count := crashes.Count{Crashes: len(g.crashes)}
-	seen := map[string]bool{}
+	var most crashes.Count
+	for _, member := range g.crashedMembers() {
+		count := sumCrashes(slices.DeleteFunc(slices.Clone(g.crashes), func(crash workflow.CrashedRun) bool {
+			return len(crash.Members) > 0 && !slices.Contains(crash.Members, member)
+		}))
+		if count.GivesUp() {
+			return count
+		}
+		if count.Crashes > most.Crashes {
+			most = count
+		}
+	}
+	return most
+}
+
+// crashedMembers returns the tasks on workers that have crashed under the task group.
+func (g *taskGroup) crashedMembers() []int {
+	members := []int{0}
 	for _, crash := range g.crashes {
+		members = append(members, crash.Members...)
+	}
+	slices.Sort(members)
+	return slices.Compact(members)
+}
+
+func sumCrashes(list []workflow.CrashedRun) crashes.Count {
+	count := crashes.Count{Crashes: len(list)}
+	seen := map[string]bool{}
+	for _, crash := range list {
 		if crash.Alone {
 			count.Lone++
 		}
--- a/internal/workflow/record.go
+++ b/internal/workflow/record.go
@@ -124,6 +124,9 @@
 	Run int `json:"r"`
 	// Worker is the address of the worker; empty if it is not known.
 	Worker string `json:"w,omitempty"`
+	// Members are the indices of the gang's tasks on the workers that have crashed; empty for a task
+	// that is no gang, and in records of earlier versions.
+	Members []int `json:"m,omitempty"`
 	// Alone is true if nothing else ran on the worker.
 	Alone bool `json:"alone,omitempty"`
 	// Expected is how many crashes were to be expected by chance during the run.
