--- a/internal/pool/advice.go
+++ b/internal/pool/advice.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"fmt"
-	"maps"
 	"time"
 
 	"github.com/pkg/errors"
@@ -253,6 +252,6 @@
 // dropTicket discards the member's ticket if err shows that the worker refused it.
 func (o *Owner) dropTicket(m *member, err error) {
 	if errors.Is(err, ErrTicketRefused) {
-		maps.DeleteFunc(m.group.step.ensureAdvice().tickets, func(id model.WorkerID, _ ticket) bool { return id == m.workerID })
+		delete(m.group.step.ensureAdvice().tickets, m.workerID)
 	}
 }
--- a/internal/pool/advice_test.go
+++ b/internal/pool/advice_test.go
@@ -151,7 +151,7 @@
 }
 
 // Guards against requests that name many more workers than the step needs, so that the jobs of a burst
-// wait for each other's advice longer than finish_s allows.
+// wait for each other's advice for longer than users bear.
 func TestBurstOfAdvisedJobsEndsInTime(t *testing.T) {
 	const jobs, gap = 22, 180 * time.Millisecond
 	sim := startSimulation(t, 6, 8)
