--- a/internal/poolhost/export_test.go
+++ b/internal/poolhost/export_test.go
@@ -17,3 +17,6 @@
 func (h *Host) RememberFinalState(id model.JobID, organisation model.OrganisationID, state workflow.State) {
 	h.cacheFinalState(id, organisation, state)
 }
+
+// Gate returns what this host may do as the owner of the pool.
+func (h *Host) Gate() pool.Gate { return h.currentTerm().gate() }
--- a/internal/poolhost/silence_takeover_test.go
+++ b/internal/poolhost/silence_takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -47,3 +48,36 @@
 	eventually(t, "the worker is no longer named", func() bool { return len(d.silenceRecord().Workers) == 0 })
 	require.Equal(t, 1, d.workers.startCount())
 }
+
+// heldInputStore holds reads of jobs and cancellations back until it is released.
+type heldInputStore struct {
+	store.Store
+	released chan struct{}
+}
+
+func (s *heldInputStore) Range(ctx context.Context, from, to string, limit int) (store.Page, error) {
+	if strings.HasPrefix(from, store.PoolInputPrefix) {
+		select {
+		case <-s.released:
+		case <-ctx.Done():
+			return store.Page{}, store.ErrUnavailable
+		}
+	}
+	return s.Store.Range(ctx, from, to, limit)
+}
+
+// Guards against an owner that acts on the records of its predecessors before it has read the jobs.
+func TestOwnerIsLoadingUntilItHasReadTheJobs(t *testing.T) {
+	d := newDeployment(t)
+	held := &heldInputStore{released: make(chan struct{})}
+	d.wrapStore = func(_ string, s store.Store) store.Store {
+		held.Store = s
+		return held
+	}
+	a := d.host("a", "a1", 1)
+	eventually(t, "a is the owner", func() bool { return a.log.has("ownership taken") })
+	require.Equal(t, pool.Gate{Loading: true}, a.Gate())
+	close(held.released)
+	eventually(t, "the jobs are read", func() bool { return !a.Gate().Loading })
+	eventually(t, "starts are allowed", func() bool { return a.Gate().MayStart })
+}
