--- a/internal/poolhost/cancel_test.go
+++ b/internal/poolhost/cancel_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/chervilrun/chervilrun/internal/model"
 	"github.com/chervilrun/chervilrun/internal/outcome"
+	_ "github.com/chervilrun/chervilrun/internal/rapidseed" // fixes the seed
 	"github.com/chervilrun/chervilrun/internal/store"
 	"github.com/chervilrun/chervilrun/internal/workflow"
 )
