--- a/internal/pool/owner_test.go
+++ b/internal/pool/owner_test.go
@@ -140,8 +140,6 @@
 	sim.waitFor(time.Second, id, workflow.Running)
 	sim.run(time.Second)
 	sim.workers["w0-0"].crash()
-	// The list of workers follows with the next heartbeat.
-	sim.after(1500*time.Millisecond, sim.reload)
 	sim.waitFor(10*time.Second, id, workflow.Completed)
 	require.Equal(t, 4, sim.audit.starts)
 }
--- a/internal/pool/worker.go
+++ b/internal/pool/worker.go
@@ -153,17 +153,8 @@
 	return free
 }
 
-// isDescribed reports whether the list describes the incarnation that answers. An earlier one may have had
-// other resources and labels.
-func (w *worker) isDescribed() bool {
-	return w.info.Incarnation == 0 || w.info.Incarnation >= w.Incarnation
-}
-
 // usable reports whether the worker may get new tasks.
 func (w *worker) usable(policy *Policy) bool {
-	if !w.isDescribed() {
-		return false
-	}
 	if !w.Listed || !w.claimed || w.Draining || policy.ZonesOutOfService[w.info.Zone] || w.cordoned || w.leasesBarred || !w.SilentSince.IsZero() {
 		return false
 	}
