--- a/internal/pool/restart_test.go
+++ b/internal/pool/restart_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/chervilrun/chervilrun/internal/model"
+	"github.com/chervilrun/chervilrun/internal/pool"
 	"github.com/chervilrun/chervilrun/internal/workflow"
 )
 
@@ -29,3 +31,23 @@
 	}
 	require.True(t, sim.runUntil(500*time.Millisecond, func() bool { return sim.runningTasks() == 1 }))
 }
+
+// Guards against a worker that is filled beyond its capacity: it answers as a later incarnation, which may be
+// of another kind, while the list still describes the earlier one.
+func TestRestartedWorkerIsUsedOnceTheListDescribesIt(t *testing.T) {
+	sim := startSimulation(t, 1, 1)
+	sim.audit.faults = true
+	id, f := sim.submitToOneWorker(step(1, 8, 3*time.Second))
+	before := f.info
+	f.crash()
+	f.info.Capacity = model.Resources{Accelerators: 4, MilliCPU: 64000, MemoryMB: 128000}
+	sim.listedWorkers = func() []pool.WorkerInfo { return []pool.WorkerInfo{before} }
+	sim.reload()
+	small := sim.submit("small", "aso", normalQueue(), step(1, 4, time.Second))
+	sim.run(5 * time.Second)
+	require.Equal(t, workflow.Queued, sim.state(small))
+	sim.listedWorkers = nil
+	sim.reload()
+	sim.waitFor(5*time.Second, small, workflow.Completed)
+	require.NotEqual(t, workflow.Completed, sim.state(id))
+}
