--- a/internal/pool/port.go
+++ b/internal/pool/port.go
@@ -13,6 +13,9 @@
 type Target struct {
 	Worker  model.WorkerID
 	Address string
+	// Incarnation is the incarnation that the order is meant for; 0 if none is known. The ID, the
+	// address and the entry of a worker may be the same after a restart.
+	Incarnation int64
 }
 
 // StartOrder orders a worker to run a task. It is idempotent.
@@ -38,7 +41,8 @@
 type RenewalOrder struct {
 	Fence uint64
 	// Acknowledged acknowledges the ended runs up to this number; the worker need not list them
-	// any more.
+	// any more. Each incarnation numbers its ends anew, so that it is sent only to the incarnation
+	// that the target names.
 	Acknowledged int64
 	// ExpiresMS is the new expiry of the lease on the worker's clock; 0 does not extend it.
 	ExpiresMS int64
@@ -93,9 +97,14 @@
 	Incarnation int64
 	Running     []RunningTask
 	Ended       []EndedTask
+	// Unacknowledged is true if the renewal was sent without RenewalOrder.Acknowledged and Wait,
+	// since it wasn't certain which incarnation would receive it.
+	Unacknowledged bool
 }
 
-// WorkerPort sends orders to workers. Errors wrap one of the typed errors below; callers
+// WorkerPort sends orders to workers. Only the incarnation that the target names carries out an
+// order to start, stop or pace a run, and only it receives an acknowledgement; any other gets at
+// most a request for its inventory. Errors wrap one of the typed errors below; callers
 // use errors.Is. ClockMS of the response is also returned with ErrStaleRun,
 // ErrInsufficientResources, ErrExpired and ErrTicketRefused; 0 means that the response
 // had none.
@@ -116,8 +125,11 @@
 	ErrTicketRefused         = errors.New("worker refused the ticket")
 	ErrOverloaded            = errors.New("order refused: overloaded or unhealthy")
 	ErrIncarnation           = errors.New("another incarnation of the worker responded")
-	ErrInvalid               = errors.New("worker refused the order as malformed")
-	ErrUnreachable           = errors.New("worker unreachable")
+	// ErrRestarted means that the order was not sent, since a later incarnation of the worker
+	// responds at its address, under its ID.
+	ErrRestarted   = errors.New("order not sent: the worker has restarted")
+	ErrInvalid     = errors.New("worker refused the order as malformed")
+	ErrUnreachable = errors.New("worker unreachable")
 	// ErrPermissionExpired is not returned by a WorkerPort: the loop did not send the order,
 	// since the ownership or the configuration is no longer certain.
 	ErrPermissionExpired = errors.New("order not sent: the ownership or the configuration is no longer certain")
--- a/internal/pool/responses.go
+++ b/internal/pool/responses.go
@@ -113,6 +113,9 @@
 		return
 	}
 	call.member.stopInFlight = false
+	if errors.Is(err, ErrRestarted) && !call.worker.renewalInFlight {
+		call.worker.nextRenewal = now
+	}
 	if err == nil {
 		if call.member.stopConfirmedAt.IsZero() {
 			call.member.stopConfirmedAt = now
@@ -155,6 +158,10 @@
 	o.restartStalled(w)
 	o.moveOffDraining(w)
 	o.scheduleRenewal(w, len(inventory.Ended) >= maxEndsPerResponse)
+	if inventory.Unacknowledged {
+		// The response shows which incarnation receives the next renewal.
+		w.nextRenewal = now
+	}
 }
 
 // updateFromResponse updates the state of the worker itself from its response.
--- a/internal/pool/simulation_test.go
+++ b/internal/pool/simulation_test.go
@@ -393,14 +393,18 @@
 		incarnation := sim.incarnationOf(call.Target.Worker)
 		sim.after(late, func() {
 			// A delayed order does not outlive the incarnation of the worker that it was
-			// sent to: see docs/design/071-platform-questions.md.
-			if incarnation != 0 && sim.incarnationOf(call.Target.Worker) == incarnation {
+			// sent to, which is the one that it names: see docs/design/071-platform-questions.md.
+			if incarnation != 0 && incarnation == call.Target.Incarnation && sim.incarnationOf(call.Target.Worker) == incarnation {
 				sim.execute(call)
 			}
 		})
 		sim.after(call.Timeout, func() { o.handleResult(call, pool.Inventory{}, pool.ErrResponseLost) })
 		return
 	}
+	if f := sim.workers[call.Target.Worker]; f != nil && f.incarnation != call.Target.Incarnation {
+		sim.deliverToOtherIncarnation(o, call)
+		return
+	}
 	if call.Renew != nil && call.Renew.Wait > 0 {
 		sim.respondToRenewal(o, call, sim.now().Add(call.Renew.Wait))
 		return
@@ -409,6 +413,21 @@
 	sim.after(sim.networkDelay(), func() { o.handleResult(call, inventory, err) })
 }
 
+// deliverToOtherIncarnation behaves as a port whose connection leads to another incarnation of the
+// worker than a call names: only its inventory is requested.
+func (sim *simulation) deliverToOtherIncarnation(o *fakeOwner, call pool.Call) {
+	inventory, err := pool.Inventory{}, error(pool.ErrRestarted)
+	if call.Renew != nil {
+		request := call
+		order := *call.Renew
+		order.Acknowledged, order.Wait = 0, 0
+		request.Renew = &order
+		inventory, err = sim.execute(request)
+		inventory.Unacknowledged = call.Renew.Acknowledged > 0
+	}
+	sim.after(sim.networkDelay(), func() { o.handleResult(call, inventory, err) })
+}
+
 // machineOf returns the machine of a worker; the worker's ID changes with an upkeep.
 func machineOf(f *fakeWorker) pool.MachineID { return pool.MachineID("m-" + f.info.Address) }
 
--- a/internal/pool/worker.go
+++ b/internal/pool/worker.go
@@ -112,7 +112,9 @@
 	}
 }
 
-func (w *worker) target() Target { return Target{Worker: w.info.ID, Address: w.info.Address} }
+func (w *worker) target() Target {
+	return Target{Worker: w.info.ID, Address: w.info.Address, Incarnation: w.Incarnation}
+}
 
 // clockNow estimates the worker's clock; the estimate may be ahead by maxClockDrift of the
 // time since the last reading.
--- a/internal/pool/workerlist.go
+++ b/internal/pool/workerlist.go
@@ -75,7 +75,7 @@
 // flight may have reached the new incarnation, so no run is given up until the worker has
 // listed what it runs.
 func (o *Owner) handleRestart(w *worker, incarnation int64) {
-	o.emit(event.WorkerRestarted, event.Subject{Worker: string(w.info.ID)}, event.Fields{"born": incarnation, "before": w.Incarnation, "runs": w.members.len()})
+	o.emit(event.WorkerRestarted, event.Subject{Worker: string(w.info.ID)}, event.Fields{"born": incarnation, "before": w.Incarnation, "runs": w.members.len(), "acknowledged": w.acknowledged})
 	o.workerCrashed(w, crashRestarted)
 	w.upkeepOrdered, w.crashed = false, false
 	w.Restarted(incarnation, o.leasesAfterRestart(w))
