--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -84,6 +84,7 @@
 	JobAnnounced      Number = 2018
 	JobSetAside       Number = 2019
 	GangAborted       Number = 2020
+	RecordRefused     Number = 2021
 
 	WorkerClaimed       Number = 2100
 	WorkerLost          Number = 2101
@@ -184,6 +185,7 @@
 	CancelFailed:      {"cancellation failed", logrus.WarnLevel, "It is not certain that the caller's cancellation is recorded."},
 	StateUnread:       {"state unread", logrus.WarnLevel, "The state of a job could not be read."},
 	AcceptanceUnknown: {"acceptance unknown", logrus.WarnLevel, "The job may or may not be recorded; its caller is told so, and may submit it again under the same id."},
+	RecordRefused:     {"record refused", logrus.ErrorLevel, "The store refuses a record for its content. It is sent again after a pause, alone; what depends on it is not started or ended meanwhile."},
 	GangAborted:       {"gang aborted", logrus.WarnLevel, "A task failed, was late or was lost; the other tasks of the gang are stopped."},
 
 	WorkerClaimed:     {"worker claimed", logrus.DebugLevel, "The worker now accepts commands of this owner's epoch only."},
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -35,6 +35,7 @@
 	unrecordedSince time.Time
 	// revision is the store revision of the progress key.
 	revision store.Revision
+	refusals refusals
 	// placed is true once start orders for a task of the job were queued, by this owner or an
 	// earlier one; started once a worker has confirmed a start.
 	placed  bool
@@ -81,6 +82,10 @@
 
 func (j *job) fullyRecorded() bool { return j.version == j.recordedVersion }
 
+// cantBeRecorded reports whether the store refuses the job's record. An assignment that isn't recorded
+// starts nothing, and would only withhold resources.
+func (j *job) cantBeRecorded() bool { return j.refusals.alone > 0 }
+
 // isTerminal reports whether nothing of the job may be started any more.
 func (j *job) isTerminal() bool { return j.cancelled || j.state.Final() }
 
--- a/internal/pool/loop.go
+++ b/internal/pool/loop.go
@@ -256,7 +256,7 @@
 	recorded := true
 	l.withOwner(func(o *Owner) {
 		for _, j := range o.jobs.all() {
-			recorded = recorded && j.fullyRecorded()
+			recorded = recorded && (j.fullyRecorded() || j.cantBeRecorded())
 		}
 		recorded = recorded && !o.storeCallInFlight
 	})
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -65,6 +65,7 @@
 	storeRetryAt      time.Time
 	// unansweredStoreCalls counts the consecutive transactions without a response.
 	unansweredStoreCalls int
+	suspectedRecords     []suspectedRecord
 	// changed lists the jobs that may have unrecorded changes.
 	changed []*job
 	// lastRemovalCheck is when the last check for expired jobs found none.
--- a/internal/pool/ownerrecord.go
+++ b/internal/pool/ownerrecord.go
@@ -20,6 +20,7 @@
 	recordedVersion uint64
 	// revision is the last known store revision; 0 if there is no record.
 	revision store.Revision
+	refusals refusals
 }
 
 func (s *recordState) isRecorded() bool { return s.version == s.recordedVersion }
@@ -34,22 +35,26 @@
 	state   *recordState
 	version uint64
 	value   []byte
+	// resend adds the record to a later transaction.
+	resend func(*StoreCall)
 }
 
-// writeRecord adds the write of a record to the transaction.
-func (c *StoreCall) writeRecord(state *recordState, value any) {
+// writeRecord adds the write of a record to the transaction; resend adds it to a later one if the
+// store refuses this.
+func (c *StoreCall) writeRecord(state *recordState, value any, resend func(*StoreCall)) {
 	text, err := json.Marshal(value)
 	if err != nil {
 		panic(errors.Wrapf(err, "encode the record %s", state.key))
 	}
 	c.addRecord(state.key, state.revision, text)
-	c.recordWrites = append(c.recordWrites, recordWrite{state: state, version: state.version, value: text})
+	c.recordWrites = append(c.recordWrites, recordWrite{state: state, version: state.version, value: text, resend: resend})
 }
 
 // recordsWritten handles the success of a transaction.
 func (c *StoreCall) recordsWritten(revision store.Revision) {
 	for _, write := range c.recordWrites {
 		write.state.revision, write.state.recordedVersion = revision, write.version
+		write.state.refusals = refusals{}
 	}
 }
 
@@ -98,7 +103,7 @@
 // addCrashRecord adds the record of the crashes of workers to a transaction, if it has changed.
 // It waits for other records up to RecordDelay.
 func (o *Owner) addCrashRecord(call *StoreCall) {
-	if o.crashRecord.isRecorded() {
+	if o.crashRecord.isRecorded() || o.crashRecord.refusals.suspected {
 		return
 	}
 	flushAt := o.crashRate.LastCrash().Add(o.timing.RecordDelay)
@@ -106,5 +111,9 @@
 		o.wakeAt(flushAt)
 		return
 	}
-	call.writeRecord(&o.crashRecord, o.crashRate)
+	o.writeCrashRecord(call)
+}
+
+func (o *Owner) writeCrashRecord(call *StoreCall) {
+	call.writeRecord(&o.crashRecord, o.crashRate, o.writeCrashRecord)
 }
--- a/internal/pool/planning.go
+++ b/internal/pool/planning.go
@@ -83,7 +83,7 @@
 	o.nextRestart = time.Time{}
 	for _, g := range o.index.waiting.all() {
 		switch {
-		case !g.step.ready || g.job.isTerminal():
+		case !g.step.ready || g.job.isTerminal() || g.job.cantBeRecorded():
 		case g.isPaused(o.now):
 			if o.nextRestart.IsZero() || g.startAfter.Before(o.nextRestart) {
 				o.nextRestart = g.startAfter
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -49,6 +49,16 @@
 	c.Txn.Else = append(c.Txn.Else, store.Op{Get: key})
 }
 
+// addJob adds the record of a job if it has changes to record.
+func (c *StoreCall) addJob(j *job) {
+	if j.fullyRecorded() {
+		return
+	}
+	write := jobWrite{job: j, version: j.version, value: workflow.Encode(j.progress())}
+	c.addRecord(store.PoolProgressKey(j.id()), j.revision, write.value)
+	c.writes = append(c.writes, write)
+}
+
 type jobWrite struct {
 	job     *job
 	version uint64
@@ -91,12 +101,13 @@
 	if call := o.waveStatusCall(); call != nil {
 		return call
 	}
+	if call := o.suspectedRecordCall(); call != nil {
+		return call
+	}
 	call := &StoreCall{Txn: o.newTxn()}
 	o.addUpkeepRecords(call)
 	for _, j := range o.jobsToRecord(maxJobRecords - len(call.recordWrites)) {
-		write := jobWrite{job: j, version: j.version, value: workflow.Encode(j.progress())}
-		call.addRecord(store.PoolProgressKey(j.id()), j.revision, write.value)
-		call.writes = append(call.writes, write)
+		call.addJob(j)
 	}
 	o.addCrashRecord(call)
 	o.addSilenceRecord(call)
@@ -126,6 +137,9 @@
 			continue
 		}
 		o.changed = append(o.changed, j)
+		if j.refusals.suspected {
+			continue
+		}
 		found = append(found, j)
 		flushAt := j.unrecordedSince.Add(o.timing.RecordDelay)
 		if !o.now.Before(flushAt) {
@@ -182,6 +196,8 @@
 	}
 	o.unansweredStoreCalls = 0
 	switch {
+	case errors.Is(err, store.ErrRefused):
+		o.recordsRefused(call, err)
 	case err != nil:
 		o.storeRetryAt = now.Add(o.timing.StoreRetryDelay)
 	case result.Succeeded:
@@ -195,6 +211,8 @@
 	for _, write := range call.writes {
 		write.job.revision = revision
 		write.job.recordedVersion = write.version
+		o.planNeeded = o.planNeeded || write.job.cantBeRecorded()
+		write.job.refusals = refusals{}
 	}
 	o.waveStatusWritten(call, revision)
 	call.recordsWritten(revision)
--- a/internal/pool/silence.go
+++ b/internal/pool/silence.go
@@ -286,7 +286,7 @@
 // waits for other records up to RecordDelay.
 func (o *Owner) addSilenceRecord(call *StoreCall) {
 	s := &o.silences
-	if s.record.isRecorded() {
+	if s.record.isRecorded() || s.record.refusals.suspected {
 		return
 	}
 	flushAt := s.changedAt.Add(o.timing.RecordDelay)
@@ -294,6 +294,11 @@
 		o.wakeAt(flushAt)
 		return
 	}
+	o.writeSilenceRecord(call)
+}
+
+func (o *Owner) writeSilenceRecord(call *StoreCall) {
+	s := &o.silences
 	record := SilenceRecord{Fence: o.fence, Workers: []SilentWorkerID{}}
 	for id, silent := range s.workers.all() {
 		if silent.removedIn == 0 {
@@ -304,7 +309,7 @@
 		}
 	}
 	s.sentVersion = s.record.version
-	call.writeRecord(&s.record, record)
+	call.writeRecord(&s.record, record, o.writeSilenceRecord)
 }
 
 // leasesUntil returns when every lease that any owner may have granted to a silent worker has run
--- a/internal/pool/simulation_test.go
+++ b/internal/pool/simulation_test.go
@@ -81,6 +81,8 @@
 	loadDelay time.Duration
 	// listFirst gives new owners the list of workers before the records.
 	listFirst bool
+	// refuseWrite decides whether the store refuses a transaction for what it contains.
+	refuseWrite func(txn store.Txn) bool
 	// onWrite is called with each transaction that is executed; nil for none.
 	onWrite func(txn store.Txn)
 
@@ -629,6 +631,8 @@
 		done(store.TxnResult{}, store.ErrResponseLost)
 	case sim.storeDown || o.cutOff:
 		done(store.TxnResult{}, store.ErrUnavailable)
+	case sim.refuseWrite != nil && sim.refuseWrite(call.Txn):
+		done(store.TxnResult{}, store.ErrRefused)
 	case sim.loseWrites > 0:
 		sim.loseWrites--
 		delay = call.Timeout
--- a/internal/pool/upkeep.go
+++ b/internal/pool/upkeep.go
@@ -50,6 +50,7 @@
 	finished      bool
 	// revision is the last known store revision of the status; 0 if there is none.
 	revision store.Revision
+	refusals refusals
 }
 
 // machineUpkeep is the state of the upkeep of one machine for a wave. Its record outlives the
--- a/internal/pool/upkeeprecord.go
+++ b/internal/pool/upkeeprecord.go
@@ -103,15 +103,20 @@
 			continue
 		}
 		remaining = append(remaining, m)
-		if len(call.recordWrites) == maxUpkeepRecords {
+		if len(call.recordWrites) == maxUpkeepRecords || m.refusals.suspected {
 			continue
 		}
 		added[m] = true
-		call.writeRecord(&m.recordState, m.record())
+		m.writeTo(call)
 	}
 	u.changed = remaining
 }
 
+// writeTo adds the record of the upkeep to a transaction.
+func (m *machineUpkeep) writeTo(call *StoreCall) {
+	call.writeRecord(&m.recordState, m.record(), m.writeTo)
+}
+
 // upkeepsRemoved forgets the upkeeps whose records a transaction has removed; values holds
 // those that are still there if its conditions failed.
 func (o *Owner) upkeepsRemoved(call *StoreCall, values map[string]*store.KeyValue) {
@@ -171,6 +176,10 @@
 		if w.finished || w.statusWritten && !completed {
 			continue
 		}
+		if o.now.Before(w.refusals.pausedUntil) {
+			o.wakeAt(w.refusals.pausedUntil)
+			continue
+		}
 		key, value := o.upkeep.status(w.Number, completed)
 		call := &StoreCall{Txn: o.newTxn(), wave: w, waveCompleted: completed}
 		call.Txn.If = append(call.Txn.If, store.Unchanged(key, w.revision))
@@ -206,6 +215,7 @@
 		return
 	}
 	call.wave.revision = revision
+	call.wave.refusals = refusals{}
 	call.wave.statusWritten = true
 	call.wave.finished = call.waveCompleted
 	if call.waveCompleted {
--- a/internal/poolhost/jobs.go
+++ b/internal/poolhost/jobs.go
@@ -94,6 +94,9 @@
 	if unknown {
 		return Response{Outcome: outcome.UnknownBecause(outcome.ReasonAnswerLost, "the write may or may not have happened")}
 	}
+	if errors.Is(err, store.ErrRefused) {
+		return Response{Outcome: outcome.NotRunBecause(outcome.ReasonTooLarge, "the store refuses the record of the request")}
+	}
 	return Response{
 		Outcome:    outcome.NotRunBecause(outcome.ReasonStoreUnavailable, "the store can't be written"),
 		RetryAfter: h.RetryAfter(),
@@ -119,7 +122,7 @@
 			h.startProbe()
 		}
 		waited := h.Clock.Now().Sub(startedAt)
-		if ctx.Err() != nil || !responseLost && waited >= maxWriteRetryTime {
+		if ctx.Err() != nil || errors.Is(err, store.ErrRefused) || !responseLost && waited >= maxWriteRetryTime {
 			return store.TxnResult{}, asResponseLost(err, responseLost)
 		}
 		select {
--- a/internal/store/etcd/etcd.go
+++ b/internal/store/etcd/etcd.go
@@ -88,9 +88,6 @@
 	return errors.Wrap(store.ErrUnavailable, err.Error())
 }
 
-// ErrRefused means that the service refuses the call as invalid.
-var ErrRefused = errors.New("store: call refused as invalid")
-
 func statusError(response *http.Response, write bool) error {
 	var errorBody wire.Error
 	body, err := io.ReadAll(io.LimitReader(response.Body, store.MaxValueBytes))
@@ -104,7 +101,7 @@
 	case errorBody.Code == wire.CodeNotFound && errorBody.Message == wire.MessageLeaseNotFound:
 		return errors.Wrap(store.ErrLeaseGone, errorBody.Message)
 	case errorBody.Code == wire.CodeInvalidArgument:
-		return errors.Wrap(ErrRefused, errorBody.Message)
+		return errors.Wrap(store.ErrRefused, errorBody.Message)
 	case errorBody.Message == wire.MessageNoLeader || errorBody.Code == wire.CodeResourceExhausted:
 		return errors.Wrap(store.ErrUnavailable, errorBody.Message)
 	case write:
--- a/internal/store/memory/memory.go
+++ b/internal/store/memory/memory.go
@@ -121,9 +121,9 @@
 
 // Errors of calls that the service refuses as invalid.
 var (
-	ErrTooManyOps   = errors.New("store: too many operations in a transaction")
-	ErrTooLarge     = errors.New("store: value too large")
-	ErrDuplicateKey = errors.New("store: key written twice in a transaction")
+	ErrTooManyOps   = errors.WithMessage(store.ErrRefused, "too many operations in a transaction")
+	ErrTooLarge     = errors.WithMessage(store.ErrRefused, "value too large")
+	ErrDuplicateKey = errors.WithMessage(store.ErrRefused, "key written twice in a transaction")
 )
 
 func (s *Store) transact(txn store.Txn) (store.TxnResult, error) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -111,7 +111,8 @@
 }
 
 // Store is the platform's key-value service. Every method may return ErrUnavailable (the
-// call had no effect) or ErrResponseLost (a write may or may not have taken effect).
+// call had no effect), ErrRefused (nor will it have one) or ErrResponseLost (a write may or may not
+// have taken effect).
 type Store interface {
 	// Range reads up to limit keys in [from, to) in key order, at one revision.
 	Range(ctx context.Context, from, to string, limit int) (Page, error)
@@ -141,6 +142,9 @@
 var (
 	// ErrUnavailable means that the call had no effect.
 	ErrUnavailable = errors.New("store: unavailable")
+	// ErrRefused means that the service refuses the call for what it contains, such as a value that is
+	// too large. It had no effect, and the same call again has none either.
+	ErrRefused = errors.New("store: refused")
 	// ErrResponseLost means that a write may or may not have taken effect.
 	ErrResponseLost = errors.New("store: answer lost")
 	// ErrLeaseGone means that the lease has expired or was revoked.
