--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -85,6 +85,8 @@
 	JobSetAside       Number = 2019
 	GangAborted       Number = 2020
 	RecordRefused     Number = 2021
+	// CheckpointsOmitted is logged once a job.
+	CheckpointsOmitted Number = 2022
 
 	WorkerClaimed       Number = 2100
 	WorkerLost          Number = 2101
@@ -165,28 +167,29 @@
 	StateSkipped:   {"state skipped", logrus.ErrorLevel, "Processing what was read from the store panicked; the process goes on with what it knew before."},
 	EntryMalformed: {"entry malformed", logrus.WarnLevel, "The value of a key in the store can't be decoded; the key is ignored."},
 
-	JobAccepted:       {"job accepted", logrus.InfoLevel, "The job is recorded in the store and will run."},
-	JobSetAside:       {"job set aside", logrus.ErrorLevel, "The record or the progress of the job can't be used; it stays in the store and is not scheduled."},
-	JobAnnounced:      {"job announced", logrus.InfoLevel, "The host that accepted the job told the owner of it before the owner's watch did."},
-	JobRefused:        {"job refused", logrus.InfoLevel, "The job was not accepted and will not run."},
-	JobStarting:       {"job starting", logrus.InfoLevel, "All tasks of the gang are being started under a short lease."},
-	JobRunning:        {"job running", logrus.InfoLevel, "Every task has confirmed its start; the lease was extended for all."},
-	JobDone:           {"job done", logrus.InfoLevel, "Every task has finished."},
-	JobFailed:         {"job failed", logrus.WarnLevel, "The job ended without a result."},
-	JobCancelled:      {"job cancelled", logrus.InfoLevel, "The caller cancelled the job; its tasks are stopped."},
-	JobRequeued:       {"job requeued", logrus.InfoLevel, "The job waits again, from its last checkpoint if it has one."},
-	JobDeferred:       {"job deferred", logrus.DebugLevel, "The job can't be placed now; the detail gives the reason."},
-	JobPreempted:      {"job preempted", logrus.InfoLevel, "The job is stopped to free its resources for a guarantee."},
-	JobAdopted:        {"job adopted", logrus.InfoLevel, "A new owner found the job running and lets it run on."},
-	RunStopping:       {"run stopping", logrus.InfoLevel, "A run of a task group is being stopped; the line gives the reason."},
-	TaskEnded:         {"task ended", logrus.InfoLevel, "A run of a task ended; the cause field says how."},
-	JobsRemoved:       {"jobs removed", logrus.InfoLevel, "The records of jobs that ended long ago are removed."},
-	CancelRecorded:    {"cancellation recorded", logrus.InfoLevel, "The caller's cancellation is recorded in the store."},
-	CancelFailed:      {"cancellation failed", logrus.WarnLevel, "It is not certain that the caller's cancellation is recorded."},
-	StateUnread:       {"state unread", logrus.WarnLevel, "The state of a job could not be read."},
-	AcceptanceUnknown: {"acceptance unknown", logrus.WarnLevel, "The job may or may not be recorded; its caller is told so, and may submit it again under the same id."},
-	RecordRefused:     {"record refused", logrus.ErrorLevel, "The store refuses a record for its content. It is sent again after a pause, alone; what depends on it is not started or ended meanwhile."},
-	GangAborted:       {"gang aborted", logrus.WarnLevel, "A task failed, was late or was lost; the other tasks of the gang are stopped."},
+	JobAccepted:        {"job accepted", logrus.InfoLevel, "The job is recorded in the store and will run."},
+	JobSetAside:        {"job set aside", logrus.ErrorLevel, "The record or the progress of the job can't be used; it stays in the store and is not scheduled."},
+	JobAnnounced:       {"job announced", logrus.InfoLevel, "The host that accepted the job told the owner of it before the owner's watch did."},
+	JobRefused:         {"job refused", logrus.InfoLevel, "The job was not accepted and will not run."},
+	JobStarting:        {"job starting", logrus.InfoLevel, "All tasks of the gang are being started under a short lease."},
+	JobRunning:         {"job running", logrus.InfoLevel, "Every task has confirmed its start; the lease was extended for all."},
+	JobDone:            {"job done", logrus.InfoLevel, "Every task has finished."},
+	JobFailed:          {"job failed", logrus.WarnLevel, "The job ended without a result."},
+	JobCancelled:       {"job cancelled", logrus.InfoLevel, "The caller cancelled the job; its tasks are stopped."},
+	JobRequeued:        {"job requeued", logrus.InfoLevel, "The job waits again, from its last checkpoint if it has one."},
+	JobDeferred:        {"job deferred", logrus.DebugLevel, "The job can't be placed now; the detail gives the reason."},
+	JobPreempted:       {"job preempted", logrus.InfoLevel, "The job is stopped to free its resources for a guarantee."},
+	JobAdopted:         {"job adopted", logrus.InfoLevel, "A new owner found the job running and lets it run on."},
+	RunStopping:        {"run stopping", logrus.InfoLevel, "A run of a task group is being stopped; the line gives the reason."},
+	TaskEnded:          {"task ended", logrus.InfoLevel, "A run of a task ended; the cause field says how."},
+	JobsRemoved:        {"jobs removed", logrus.InfoLevel, "The records of jobs that ended long ago are removed."},
+	CancelRecorded:     {"cancellation recorded", logrus.InfoLevel, "The caller's cancellation is recorded in the store."},
+	CancelFailed:       {"cancellation failed", logrus.WarnLevel, "It is not certain that the caller's cancellation is recorded."},
+	StateUnread:        {"state unread", logrus.WarnLevel, "The state of a job could not be read."},
+	AcceptanceUnknown:  {"acceptance unknown", logrus.WarnLevel, "The job may or may not be recorded; its caller is told so, and may submit it again under the same id."},
+	CheckpointsOmitted: {"checkpoints omitted", logrus.WarnLevel, "Checkpoints of the job are too long to be kept or recorded: its tasks may start from an earlier one or from the beginning."},
+	RecordRefused:      {"record refused", logrus.ErrorLevel, "The store refuses a record for its content. It is sent again after a pause, alone; what depends on it is not started or ended meanwhile."},
+	GangAborted:        {"gang aborted", logrus.WarnLevel, "A task failed, was late or was lost; the other tasks of the gang are stopped."},
 
 	WorkerClaimed:     {"worker claimed", logrus.DebugLevel, "The worker now accepts commands of this owner's epoch only."},
 	WorkerLost:        {"worker lost", logrus.WarnLevel, "The worker has not answered for longer than its lease."},
--- a/internal/pool/advance.go
+++ b/internal/pool/advance.go
@@ -164,7 +164,7 @@
 			}
 		}
 		if expired {
-			o.markChanged(g.job)
+			o.markChanged(g)
 			o.resolveRecovery(g)
 		}
 	}
--- a/internal/pool/crashcount.go
+++ b/internal/pool/crashcount.go
@@ -33,7 +33,7 @@
 	g.crashes = g.crashes[max(0, len(g.crashes)-maxCountedCrashes):]
 	g.avoid(id)
 	o.suspects.set(g.id, g)
-	o.markChanged(g.job)
+	o.markChanged(g)
 	count := g.crashCount()
 	o.emit(event.TaskSuspected, event.Subject{Job: string(g.job.id()), Worker: string(id)}, event.Fields{
 		"piece": g.key, "run": lost.run, "member": lost.member, "alone": lost.alone, "ran_ms": lost.ranFor.Milliseconds(),
@@ -48,7 +48,7 @@
 		return
 	}
 	crash.Members = append(slices.Clone(crash.Members), member)
-	o.markChanged(g.job)
+	o.markChanged(g)
 	o.giveUpIfGuilty(g, g.crashCount())
 }
 
@@ -113,7 +113,7 @@
 func (o *Owner) retractCrash(lost lostRun) {
 	if g := lost.group; g.hasCrashed(lost.run) && !g.job.isTerminal() {
 		g.crashes = slices.DeleteFunc(g.crashes, func(crash workflow.CrashedRun) bool { return crash.Run == lost.run })
-		o.markChanged(g.job)
+		o.markChanged(g)
 	}
 }
 
@@ -122,6 +122,6 @@
 func (o *Owner) forgiveCrashes(g *taskGroup) {
 	if g.isSuspect() && g.state() == taskGroupRunning && o.now.Sub(g.runningSince) >= crashes.Forgiveness {
 		g.crashes = nil
-		o.markChanged(g.job)
+		o.markChanged(g)
 	}
 }
--- a/internal/pool/job.go
+++ b/internal/pool/job.go
@@ -33,9 +33,19 @@
 	inChangedList bool
 	// unrecordedSince is the time of the first unrecorded change.
 	unrecordedSince time.Time
-	// revision is the store revision of the progress key.
-	revision store.Revision
-	refusals refusals
+	// head is the record of the job itself, parts those of its task groups if inParts is true, by
+	// name. unrecorded are the records with changes to record.
+	head       jobRecord
+	parts      orderedMap[string, *jobRecord]
+	inParts    bool
+	unrecorded []*jobRecord
+	// headHoldsTaskGroups is true while the stored head has the task groups, although they belong into
+	// parts: an earlier version has recorded it.
+	headHoldsTaskGroups bool
+	// refused is true while the store refuses a record of the job, checkpointsOmitted once one has been
+	// too long to keep.
+	refused            bool
+	checkpointsOmitted bool
 	// placed is true once start orders for a task of the job were queued, by this owner or an
 	// earlier one; started once a worker has confirmed a start.
 	placed  bool
@@ -68,6 +78,9 @@
 
 func newJob(record *workflow.Record) *job {
 	return &job{
+		head:              jobRecord{key: store.PoolProgressKey(record.ID)},
+		parts:             newOrderedMap[string, *jobRecord](),
+		inParts:           isInParts(&record.Spec),
 		record:            record,
 		queue:             record.Queue,
 		occurrences:       newOrderedMap[int, *occurrence](),
@@ -82,9 +95,9 @@
 
 func (j *job) fullyRecorded() bool { return j.version == j.recordedVersion }
 
-// cantBeRecorded reports whether the store refuses the job's record. An assignment that isn't recorded
+// cantBeRecorded reports whether the store refuses a record of the job. An assignment that isn't recorded
 // starts nothing, and would only withhold resources.
-func (j *job) cantBeRecorded() bool { return j.refusals.alone > 0 }
+func (j *job) cantBeRecorded() bool { return j.refused }
 
 // isTerminal reports whether nothing of the job may be started any more.
 func (j *job) isTerminal() bool { return j.cancelled || j.state.Final() }
@@ -129,6 +142,7 @@
 		s.objective, s.remaining = j.objective(o), o.remaining(s)
 	}
 	j.occurrences.set(number, o)
+	j.assignRecords(o)
 	return o
 }
 
@@ -157,28 +171,8 @@
 	return true
 }
 
-// progress returns the progress of the job to record.
-func (j *job) progress() workflow.Progress {
-	p := workflow.Progress{State: j.state, Ended: j.endedAt, TaskGroups: map[string]workflow.TaskGroupProgress{}}
-	p.EndedOccurrences = slices.Sorted(maps.Keys(j.closedOccurrences))
-	if j.state.Final() {
-		p.TaskGroups = nil
-		return p
-	}
-	for key, stored := range j.storedProgress {
-		p.TaskGroups[key] = stored
-	}
-	for _, o := range j.occurrences.all() {
-		for _, s := range o.steps {
-			for _, group := range s.taskGroups {
-				if stored, known := group.progress(); known {
-					p.TaskGroups[group.key] = stored
-				}
-			}
-		}
-	}
-	return p
-}
+// sortedClosedOccurrences lists the occurrences that have ended.
+func (j *job) sortedClosedOccurrences() []int { return slices.Sorted(maps.Keys(j.closedOccurrences)) }
 
 // closeOccurrence discards the state of a finished occurrence and marks it as done.
 func (j *job) closeOccurrence(o *occurrence) {
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -66,6 +68,8 @@
 	// unansweredStoreCalls counts the consecutive transactions without a response.
 	unansweredStoreCalls int
 	suspectedRecords     []suspectedRecord
+	// recordedParts are the parts of jobs that have not been added yet.
+	recordedParts map[model.JobID]*recordedParts
 	// changed lists the jobs that may have unrecorded changes.
 	changed []*job
 	// lastRemovalCheck is when the last check for expired jobs found none.
@@ -99,6 +103,7 @@
 		peaks:      map[peakKey]peak{},
 		reclaims:   map[reclaimKey]ReclaimReport{},
 
+		recordedParts:   map[model.JobID]*recordedParts{},
 		unlistedWorkers: map[model.WorkerID]unlistedWorker{},
 		adviser:         adviserState{timeoutFactor: 1},
 		crashRate:       crashes.NewRate(now),
@@ -133,6 +138,9 @@
 	if o.jobs.has(record.ID) {
 		return nil
 	}
+	if stored, ok := o.recordedParts[record.ID]; ok && stored.err != nil {
+		return stored.err
+	}
 	j := newJob(record)
 	defer func() {
 		if value := recover(); value != nil {
@@ -155,14 +163,18 @@
 }
 
 func (o *Owner) addJob(j *job, progress *workflow.Progress, revision store.Revision) {
-	j.revision = revision
+	j.head.revision = revision
 	o.jobs.set(j.id(), j)
+	progress = o.withParts(j, progress)
 	if progress != nil {
 		o.restore(j, progress)
 	}
 	if j.state.Final() {
 		return
 	}
+	if j.headHoldsTaskGroups {
+		defer o.recordInParts(j)
+	}
 	o.active.set(j.id(), j)
 	for number := range j.occurrenceCount() {
 		if o.hasOpenTaskGroups(j, number, progress) {
@@ -173,6 +185,41 @@
 	o.planNeeded = true
 }
 
+// withParts returns the recorded progress of a job with the task groups of its parts, which are newer
+// than any in the head. A job may have parts before it has a head.
+func (o *Owner) withParts(j *job, progress *workflow.Progress) *workflow.Progress {
+	stored, ok := o.recordedParts[j.id()]
+	j.inParts = j.inParts || ok || progress != nil && progress.InParts
+	j.headHoldsTaskGroups = j.inParts && progress != nil && len(progress.TaskGroups) > 0
+	if !ok {
+		return progress
+	}
+	delete(o.recordedParts, j.id())
+	merged := workflow.Progress{State: workflow.Queued}
+	if progress != nil {
+		merged = *progress
+	}
+	merged.TaskGroups = maps.Clone(merged.TaskGroups)
+	if merged.TaskGroups == nil {
+		merged.TaskGroups = map[string]workflow.TaskGroupProgress{}
+	}
+	maps.Copy(merged.TaskGroups, stored.progress)
+	for name, revision := range stored.revisions {
+		var occurrence, number int
+		if _, err := fmt.Sscanf(name, "%d.%d", &occurrence, &number); err == nil {
+			j.part(occurrence, number).revision = revision
+		}
+	}
+	return &merged
+}
+
+// recordInParts records the task groups of a job, which an earlier version has recorded in the head, in
+// parts.
+func (o *Owner) recordInParts(j *job) {
+	j.forEachTaskGroup(func(g *taskGroup) { o.markChanged(g) })
+	o.markHeadChanged(j)
+}
+
 // restore sets the state of a job from its recorded progress.
 func (o *Owner) restore(j *job, progress *workflow.Progress) {
 	j.state, j.endedAt = progress.State, progress.Ended
@@ -247,7 +294,8 @@
 // finishJob sets the final state of a job; its runs may still have to be stopped.
 func (o *Owner) finishJob(j *job, state workflow.State) {
 	j.state, j.endedAt = state, o.now
-	o.markChanged(j)
+	o.markHeadChanged(j)
+	j.supersedeParts(func(int) bool { return true })
 }
 
 // retire releases the memory of an ended job once nothing of it runs and all is recorded.
--- a/internal/pool/ownerrecord.go
+++ b/internal/pool/ownerrecord.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"maps"
 	"strings"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/chervilrun/chervilrun/internal/scheduler/crashes"
 	"github.com/chervilrun/chervilrun/internal/store"
+	"github.com/chervilrun/chervilrun/internal/workflow"
 )
 
 // recordState is the state of a record that the next owner reads, other than that of a job.
@@ -81,6 +83,8 @@
 	switch {
 	case strings.HasPrefix(kv.Key, store.PoolUpkeepPrefix):
 		return o.addUpkeep(kv)
+	case strings.HasPrefix(kv.Key, store.PoolPartsPrefix):
+		return o.addPart(kv)
 	case kv.Key == store.PoolCrashesKey:
 		return o.addCrashes(kv)
 	case kv.Key == store.PoolSilenceKey:
@@ -89,6 +93,28 @@
 	return errors.Errorf("%q is the key of no known record", kv.Key)
 }
 
+// addPart keeps a part of the progress of a job until the job is added.
+func (o *Owner) addPart(kv store.KeyValue) error {
+	id, name, ok := store.ParsePoolPart(kv.Key)
+	if !ok {
+		return errors.Errorf("%q names no part of a job", kv.Key)
+	}
+	parts := o.recordedParts[id]
+	if parts == nil {
+		parts = &recordedParts{revisions: map[string]store.Revision{}, progress: map[string]workflow.TaskGroupProgress{}}
+		o.recordedParts[id] = parts
+	}
+	part, err := workflow.DecodeProgressPart(kv.Value)
+	if err != nil {
+		// The job is set aside when it is added: its other parts alone would start tasks again.
+		parts.err = errors.Wrapf(err, "part %s", name)
+		return parts.err
+	}
+	parts.revisions[name] = kv.ModRevision
+	maps.Copy(parts.progress, part.TaskGroups)
+	return nil
+}
+
 // addCrashes goes on with the earlier owner's measurement of how often workers crash.
 func (o *Owner) addCrashes(kv store.KeyValue) error {
 	o.crashRecord.restore(kv.ModRevision)
--- a/internal/pool/reconcile.go
+++ b/internal/pool/reconcile.go
@@ -55,7 +55,7 @@
 		o.confirmStarted(w, m)
 	}
 	if running.Checkpoint != "" && running.Run == g.run && !g.finished() {
-		g.checkpoint = running.Checkpoint
+		o.keepCheckpoint(g, running.Checkpoint)
 	}
 	m.load = running.Load
 	o.noteSteadyRun(w, m)
@@ -98,7 +98,7 @@
 				lost = append(lost, o.lostUnverified(m))
 			}
 			o.recordedRunEnded(m, proof)
-			o.markChanged(g.job)
+			o.markChanged(g)
 		}
 	}
 	if len(lost) > 0 {
--- a/internal/pool/record.go
+++ b/internal/pool/record.go
@@ -31,6 +31,9 @@
 	Timeout  time.Duration
 	writes   []jobWrite
 	removals []*job
+	// valueBytes is the length of all values that are written.
+	valueBytes   int
+	partRemovals []partRemoval
 	// wave is the wave whose status is written, as completed if waveCompleted is true.
 	wave          *wave
 	waveCompleted bool
@@ -44,40 +47,19 @@
 
 // addRecord adds the write of a record that was last written at a revision.
 func (c *StoreCall) addRecord(key string, revision store.Revision, value []byte) {
+	c.valueBytes += len(value)
 	c.Txn.If = append(c.Txn.If, store.Unchanged(key, revision))
 	c.Txn.Then = append(c.Txn.Then, store.Op{Put: &store.Put{Key: key, Value: value}})
 	c.Txn.Else = append(c.Txn.Else, store.Op{Get: key})
 }
 
-// addJob adds the record of a job if it has changes to record.
-func (c *StoreCall) addJob(j *job) {
-	if j.fullyRecorded() {
-		return
-	}
-	write := jobWrite{job: j, version: j.version, value: workflow.Encode(j.progress())}
-	c.addRecord(store.PoolProgressKey(j.id()), j.revision, write.value)
-	c.writes = append(c.writes, write)
-}
-
 type jobWrite struct {
 	job     *job
+	record  *jobRecord
 	version uint64
 	value   []byte
 }
 
-// markChanged marks a job as having a change to record and returns its new version.
-func (o *Owner) markChanged(j *job) uint64 {
-	if j.fullyRecorded() {
-		j.unrecordedSince = o.now
-	}
-	if !j.inChangedList {
-		j.inChangedList = true
-		o.changed = append(o.changed, j)
-	}
-	j.version++
-	return j.version
-}
-
 // nextStoreCall returns the next transaction, if one is due and none is in flight.
 func (o *Owner) nextStoreCall() *StoreCall {
 	if o.storeCallInFlight {
@@ -106,9 +88,7 @@
 	}
 	call := &StoreCall{Txn: o.newTxn()}
 	o.addUpkeepRecords(call)
-	for _, j := range o.jobsToRecord(maxJobRecords - len(call.recordWrites)) {
-		call.addJob(j)
-	}
+	o.addJobRecords(call, o.jobsToRecord(), maxJobRecords-len(call.recordWrites))
 	o.addCrashRecord(call)
 	o.addSilenceRecord(call)
 	if len(call.Txn.Then) == 0 {
@@ -124,9 +104,9 @@
 	}
 }
 
-// jobsToRecord lists the jobs to record now, at most limit. An assignment is recorded at once;
-// other changes wait for RecordDelay, so that they are recorded together.
-func (o *Owner) jobsToRecord(limit int) []*job {
+// jobsToRecord lists the jobs to record now. An assignment is recorded at once; other changes wait for
+// RecordDelay, so that they are recorded together.
+func (o *Owner) jobsToRecord() []*job {
 	var found []*job
 	due := false
 	changed := o.changed
@@ -137,9 +117,6 @@
 			continue
 		}
 		o.changed = append(o.changed, j)
-		if j.refusals.suspected {
-			continue
-		}
 		found = append(found, j)
 		flushAt := j.unrecordedSince.Add(o.timing.RecordDelay)
 		if !o.now.Before(flushAt) {
@@ -154,10 +131,7 @@
 	if !due {
 		return nil
 	}
-	if len(found) > limit {
-		found = o.assignmentsFirst(found)[:limit]
-	}
-	return found
+	return o.assignmentsFirst(found)
 }
 
 // assignmentsFirst returns the jobs with those first that have unrecorded assignments.
@@ -209,10 +183,8 @@
 
 func (o *Owner) recordSucceeded(call *StoreCall, revision store.Revision) {
 	for _, write := range call.writes {
-		write.job.revision = revision
-		write.job.recordedVersion = write.version
 		o.planNeeded = o.planNeeded || write.job.cantBeRecorded()
-		write.job.refusals = refusals{}
+		write.written(revision)
 	}
 	o.waveStatusWritten(call, revision)
 	call.recordsWritten(revision)
@@ -221,11 +193,23 @@
 	for _, j := range call.removals {
 		o.jobs.remove(j.id())
 	}
+	for _, removal := range call.partRemovals {
+		removal.job.parts.remove(removal.name)
+	}
 	for _, w := range o.workers.all() {
 		o.advanceAcknowledged(w)
 	}
 }
 
+// written takes in that the write has been executed.
+func (w jobWrite) written(revision store.Revision) {
+	w.record.revision = revision
+	if w.record == &w.job.head {
+		w.job.headHoldsTaskGroups = false
+	}
+	w.job.recorded(w.record, w.version)
+}
+
 // recordConflict handles a transaction whose conditions failed. If the owner's key has
 // changed, the ownership is lost. A progress key that holds the value to be written is an
 // earlier try whose response was lost.
@@ -246,17 +230,15 @@
 	o.upkeepsRemoved(call, values)
 	o.earlyCancellationsRemoved(call, values)
 	for _, write := range call.writes {
-		found := values[store.PoolProgressKey(write.job.id())]
-		if found == nil {
-			write.job.revision = 0
-			continue
-		}
-		if found.ModRevision == write.job.revision {
-			continue
-		}
-		write.job.revision = found.ModRevision
-		if bytes.Equal(found.Value, write.value) {
-			write.job.recordedVersion = write.version
+		found := values[write.record.key]
+		switch {
+		case found == nil:
+			write.record.revision = 0
+		case found.ModRevision == write.record.revision:
+		case bytes.Equal(found.Value, write.value):
+			write.written(found.ModRevision)
+		default:
+			write.record.revision = found.ModRevision
 		}
 	}
 	for _, j := range call.removals {
@@ -283,10 +265,10 @@
 	}
 	call := &StoreCall{Txn: o.newTxn()}
 	for id, j := range o.jobs.all() {
-		if !j.state.Final() || o.active.has(id) || o.now.Sub(j.endedAt) < o.timing.Retention {
+		if !j.state.Final() || o.active.has(id) || o.now.Sub(j.endedAt) < o.timing.Retention || j.parts.len() > 0 {
 			continue
 		}
-		call.Txn.If = append(call.Txn.If, store.Unchanged(store.PoolProgressKey(id), j.revision))
+		call.Txn.If = append(call.Txn.If, store.Unchanged(store.PoolProgressKey(id), j.head.revision))
 		call.Txn.Else = append(call.Txn.Else, store.Op{Get: store.PoolProgressKey(id)})
 		for _, key := range []string{store.PoolJobKey(id), store.PoolCancelKey(id), store.PoolProgressKey(id)} {
 			call.Txn.Then = append(call.Txn.Then, store.Op{Delete: key})
@@ -297,6 +279,9 @@
 		}
 	}
 	if len(call.removals) == 0 {
+		o.removeParts(call)
+	}
+	if len(call.Txn.Then) == 0 {
 		o.removeUnrequestedUpkeeps(call)
 	}
 	if len(call.Txn.Then) == 0 {
@@ -306,7 +291,7 @@
 		o.lastRemovalCheck = o.now
 		return nil
 	}
-	o.emit(event.JobsRemoved, event.Subject{}, event.Fields{"jobs": len(call.removals), "upkeeps": len(call.upkeepRemovals), "cancellations": len(call.cancellationRemovals)})
+	o.emit(event.JobsRemoved, event.Subject{}, event.Fields{"jobs": len(call.removals), "upkeeps": len(call.upkeepRemovals), "cancellations": len(call.cancellationRemovals), "parts": len(call.partRemovals)})
 	return call
 }
 
--- a/internal/pool/refusedrecord.go
+++ b/internal/pool/refusedrecord.go
@@ -25,9 +25,10 @@
 }
 
 // suspectedRecord is a record that is sent alone. resend adds it to a transaction if it has changes
-// to record.
+// to record. job is that of the record, if it is one of a job.
 type suspectedRecord struct {
 	refusals *refusals
+	job      *job
 	resend   func(call *StoreCall)
 }
 
@@ -49,9 +50,9 @@
 
 // recordsRefused handles a transaction that the store has refused for what it contains.
 func (o *Owner) recordsRefused(call *StoreCall, err error) {
-	records := call.suspectedRecords()
+	records := o.suspectedRecordsOf(call)
 	if len(records) == 1 {
-		o.recordRefused(records[0].refusals, call, err)
+		o.recordRefused(records[0], call, err)
 	}
 	for _, r := range records {
 		if !r.refusals.suspected {
@@ -65,8 +66,11 @@
 	}
 }
 
-func (o *Owner) recordRefused(r *refusals, call *StoreCall, err error) {
-	pause := maxRefusedRecordPause
+func (o *Owner) recordRefused(record suspectedRecord, call *StoreCall, err error) {
+	r, pause := record.refusals, maxRefusedRecordPause
+	if record.job != nil {
+		record.job.refused = true
+	}
 	if r.alone < 8 {
 		pause = min(minRefusedRecordPause<<r.alone, maxRefusedRecordPause)
 	}
@@ -78,17 +82,21 @@
 	})
 }
 
-// suspectedRecords lists the records in the transaction.
-func (c *StoreCall) suspectedRecords() []suspectedRecord {
+// suspectedRecordsOf lists the records in a transaction.
+func (o *Owner) suspectedRecordsOf(c *StoreCall) []suspectedRecord {
 	var records []suspectedRecord
 	for _, write := range c.writes {
-		records = append(records, suspectedRecord{&write.job.refusals, func(again *StoreCall) { again.addJob(write.job) }})
+		records = append(records, suspectedRecord{refusals: &write.record.refusals, job: write.job, resend: func(again *StoreCall) {
+			if write.record.unrecordedFrom != 0 {
+				o.addJobRecord(again, write.job, write.record)
+			}
+		}})
 	}
 	for _, write := range c.recordWrites {
-		records = append(records, suspectedRecord{&write.state.refusals, write.resend})
+		records = append(records, suspectedRecord{refusals: &write.state.refusals, resend: write.resend})
 	}
 	if c.wave != nil {
-		records = append(records, suspectedRecord{&c.wave.refusals, func(*StoreCall) {}})
+		records = append(records, suspectedRecord{refusals: &c.wave.refusals, resend: func(*StoreCall) {}})
 	}
 	return records
 }
--- a/internal/pool/responses.go
+++ b/internal/pool/responses.go
@@ -56,6 +56,10 @@
 	j.started = true
 	if j.state == workflow.Queued {
 		j.state = workflow.Running
+		if j.inParts {
+			// A change of a task group doesn't record the state.
+			o.markHeadChanged(j)
+		}
 	}
 }
 
--- a/internal/pool/runs.go
+++ b/internal/pool/runs.go
@@ -23,7 +23,7 @@
 		w := o.workers.getOrZero(id)
 		w.assigned = w.assigned.Add(g.step.spec.Demand())
 	}
-	g.assignmentVersion = o.markChanged(g.job)
+	g.assignmentVersion = o.markChanged(g)
 	o.assigned = append(o.assigned, g)
 	for _, id := range placement.Evict {
 		victim := o.taskGroups[id]
@@ -50,7 +50,7 @@
 	o.releaseAssignment(g)
 	o.fire(g, "unclaim")
 	g.members = nil
-	o.markChanged(g.job)
+	o.markChanged(g)
 	o.planNeeded = true
 }
 
@@ -175,7 +175,7 @@
 		return
 	}
 	if checkpoint != "" {
-		g.checkpoint = checkpoint
+		o.keepCheckpoint(g, checkpoint)
 	}
 	o.emitEnd(m, cause, checkpoint, proof)
 	if state := g.state(); state == taskGroupStarting || state == taskGroupRunning {
@@ -188,7 +188,7 @@
 	if cause == EndFailed {
 		o.countFailure(g, m)
 	}
-	o.markChanged(g.job)
+	o.markChanged(g)
 	o.stopTaskGroup(g, "part_"+string(cause))
 }
 
@@ -265,7 +265,7 @@
 	o.fire(g, "requeue")
 	g.members = nil
 	g.readySince = o.now
-	o.markChanged(g.job)
+	o.markChanged(g)
 	o.planNeeded = true
 	if !g.job.isTerminal() {
 		o.emit(event.JobRequeued, event.Subject{Job: string(g.job.id())}, event.Fields{"piece": g.key, "run": g.run, "failures": g.failures, "crashes": len(g.crashes), "resumes": g.checkpoint != ""})
@@ -275,7 +275,7 @@
 // finishTaskGroup marks a task group as done. A long-running one is restarted instead.
 func (o *Owner) finishTaskGroup(g *taskGroup) {
 	if g.step.spec.LongRunning {
-		o.markChanged(g.job)
+		o.markChanged(g)
 		o.stopTaskGroup(g, "long_running_ended")
 		return
 	}
@@ -283,7 +283,7 @@
 		o.releaseAssignment(g)
 	}
 	o.fire(g, "finish")
-	o.markChanged(g.job)
+	o.markChanged(g)
 	o.planNeeded = true
 	// The other members end too; renew at once to learn of it.
 	for _, m := range g.members {
@@ -315,7 +315,8 @@
 		}
 	}
 	j.closeOccurrence(occurrence)
-	o.markChanged(j)
+	o.markHeadChanged(j)
+	j.supersedeParts(func(number int) bool { return number == occurrence.number })
 	if len(j.closedOccurrences) == j.occurrenceCount() && !j.isTerminal() {
 		o.finishJob(j, workflow.Completed)
 		fields := event.Fields{"took_ms": o.now.Sub(j.record.Accepted).Milliseconds()}
--- a/internal/pool/simulation_test.go
+++ b/internal/pool/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -112,6 +113,8 @@
 	failList    func() bool
 	omitMachine func(id pool.MachineID) bool
 
+	decodedParts map[string]decodedPart
+
 	// timeline keeps the events of the owners; nil discards them.
 	timeline *event.Recorder
 
@@ -123,8 +126,8 @@
 	sim := &simulation{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), clock: clock, store: memory.New(clock), events: eventqueue.NewSimulation(clock),
 		workers: map[model.WorkerID]*fakeWorker{}, unreachable: map[model.WorkerID]bool{},
-		policy:     pool.Policy{Guarantees: map[model.OrganisationID]int{}, ZonesOutOfService: map[model.AvailabilityZoneID]bool{}},
-		records:    map[model.JobID]*workflow.Record{},
+		policy:  pool.Policy{Guarantees: map[model.OrganisationID]int{}, ZonesOutOfService: map[model.AvailabilityZoneID]bool{}},
+		records: map[model.JobID]*workflow.Record{}, decodedParts: map[string]decodedPart{},
 		upkeepTime: upkeepDuration, machinesDown: map[upkeepKey]bool{}, machinesDone: map[upkeepKey]bool{}, machineOrders: map[pool.MachineID]machineOrder{},
 	}
 	sim.audit = audit{sim: sim, done: map[model.TaskID]bool{}, finished: map[model.TaskID]bool{}, discarded: map[endKey]bool{}, running: map[model.TaskID]int{}, failed: map[model.TaskID]int{}, crashes: map[model.TaskID]int{}, startsAfterCrashes: map[model.TaskID]int{}}
@@ -1152,10 +1155,8 @@
 	}
 	task, err := workflow.ParseTask(end.Task)
 	require.NoError(a.sim.t, err)
-	kvs := a.sim.rangeAll(store.PoolProgressKey(task.Job))
-	require.Len(a.sim.t, kvs, 1, "%s: the end was acknowledged before it was recorded", end.Task)
-	progress, err := workflow.DecodeProgress(kvs[0].Value)
-	require.NoError(a.sim.t, err)
+	progress, recorded := a.sim.recordedProgress(task.Job)
+	require.True(a.sim.t, recorded, "%s: the end was acknowledged before it was recorded", end.Task)
 	if progress.State.Final() {
 		return
 	}
@@ -1171,6 +1172,43 @@
 	require.True(a.sim.t, progress.TaskGroups[key].Done, "%s: the end was acknowledged before it was recorded", end.Task)
 }
 
+// recordedProgress returns the progress of a job as it is recorded, in one value or in parts.
+func (sim *simulation) recordedProgress(id model.JobID) (progress workflow.Progress, recorded bool) {
+	for _, kv := range sim.rangeAll(store.PoolProgressKey(id)) {
+		if kv.Key == store.PoolProgressKey(id) {
+			var err error
+			progress, err = workflow.DecodeProgress(kv.Value)
+			require.NoError(sim.t, err)
+			recorded = true
+		}
+	}
+	for _, kv := range sim.rangeAll(store.PoolPartKey(id, "")) {
+		if progress.TaskGroups == nil {
+			progress.TaskGroups = map[string]workflow.TaskGroupProgress{}
+		}
+		maps.Copy(progress.TaskGroups, sim.decodePart(kv).TaskGroups)
+		recorded = true
+	}
+	return progress, recorded
+}
+
+// decodePart decodes a part of the progress of a job, once for each revision.
+func (sim *simulation) decodePart(kv store.KeyValue) workflow.ProgressPart {
+	decoded, ok := sim.decodedParts[kv.Key]
+	if !ok || decoded.revision != kv.ModRevision {
+		part, err := workflow.DecodeProgressPart(kv.Value)
+		require.NoError(sim.t, err)
+		decoded = decodedPart{kv.ModRevision, part}
+		sim.decodedParts[kv.Key] = decoded
+	}
+	return decoded.part
+}
+
+type decodedPart struct {
+	revision store.Revision
+	part     workflow.ProgressPart
+}
+
 // startSimulation returns a simulation with one owner, and workers that advance periodically.
 func startSimulation(t *testing.T, racks, perRack int) *simulation {
 	sim := newSimulation(t, 1, racks, perRack)
--- a/internal/pool/taskgroup.go
+++ b/internal/pool/taskgroup.go
@@ -60,6 +60,8 @@
 	crashes []workflow.CrashedRun
 	// cachedPlanRun is the planner's view of the run; nil if it has to be computed.
 	cachedPlanRun *plan.Run
+	// record is the record that holds the task group's progress.
+	record *jobRecord
 }
 
 func newTaskGroup(j *job, o *occurrence, s *step, index int) *taskGroup {
--- a/internal/store/keys.go
+++ b/internal/store/keys.go
@@ -74,6 +74,8 @@
 	PoolRecordsPrefix = PoolPrefix + "progress"
 	// PoolProgressPrefix holds the owner's records of the jobs' progress.
 	PoolProgressPrefix = PoolRecordsPrefix + "/"
+	// PoolPartsPrefix holds the parts of the progress of jobs with many tasks, by job and part.
+	PoolPartsPrefix = PoolRecordsPrefix + "-parts/"
 	// PoolUpkeepPrefix holds the owner's records of the upkeep of machines, by wave and machine.
 	PoolUpkeepPrefix = PoolRecordsPrefix + "-upkeep/"
 	// PoolCrashesKey holds the owner's record of the latest crashes of workers.
@@ -101,6 +103,21 @@
 // PoolProgressKey returns the key of the progress of a job.
 func PoolProgressKey(job model.JobID) string { return PoolProgressPrefix + string(job) }
 
+// PoolPartKey returns the key of a part of the progress of a job.
+func PoolPartKey(job model.JobID, part string) string {
+	return PoolPartsPrefix + string(job) + "/" + part
+}
+
+// ParsePoolPart returns the job and the name of the part that a key under PoolPartsPrefix names.
+func ParsePoolPart(key string) (job model.JobID, part string, ok bool) {
+	rest, ok := strings.CutPrefix(key, PoolPartsPrefix)
+	if !ok {
+		return "", "", false
+	}
+	id, part, ok := strings.Cut(rest, "/")
+	return model.JobID(id), part, ok
+}
+
 // PoolInput is the kind of a key under PoolInputPrefix.
 type PoolInput int
 
--- a/internal/workflow/record.go
+++ b/internal/workflow/record.go
@@ -86,8 +86,67 @@
 	Ended time.Time `json:"end,omitzero"`
 	// EndedOccurrences lists the occurrences that have ended.
 	EndedOccurrences []int `json:"closed,omitempty"`
-	// TaskGroups holds the recorded task groups of occurrences that have not ended.
+	// TaskGroups holds the recorded task groups of occurrences that have not ended, unless they are
+	// recorded in parts.
 	TaskGroups map[string]TaskGroupProgress `json:"p,omitempty"`
+	// InParts is true if each task group is in a ProgressPart.
+	InParts bool `json:"-"`
+}
+
+// ProgressPart is the stored progress of some task groups of a job with many tasks.
+type ProgressPart struct {
+	TaskGroups map[string]TaskGroupProgress `json:"p"`
+}
+
+// progressHead is the encoding of a Progress whose task groups are in parts. Its "p" is no object, so
+// that earlier versions, which know no parts, set the job aside instead of starting its tasks again.
+type progressHead struct {
+	State State     `json:"s"`
+	Ended time.Time `json:"end,omitzero"`
+	// EndedOccurrences has ranges of occurrences, each with its first and last one.
+	EndedOccurrences [][2]int `json:"closed_ranges,omitempty"`
+	TaskGroups       string   `json:"p"`
+}
+
+// inParts is the value of progressHead.TaskGroups.
+const inParts = "parts"
+
+// MarshalJSON implements json.Marshaler.
+func (p Progress) MarshalJSON() ([]byte, error) {
+	if p.InParts {
+		return json.Marshal(progressHead{State: p.State, Ended: p.Ended, EndedOccurrences: rangesOf(p.EndedOccurrences), TaskGroups: inParts})
+	}
+	type plain Progress
+	return json.Marshal(plain(p))
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (p *Progress) UnmarshalJSON(text []byte) error {
+	var head progressHead
+	if err := json.Unmarshal(text, &head); err == nil && head.TaskGroups == inParts {
+		*p = Progress{State: head.State, Ended: head.Ended, InParts: true}
+		for _, r := range head.EndedOccurrences {
+			for number := r[0]; number <= min(r[1], MaxOccurrences); number++ {
+				p.EndedOccurrences = append(p.EndedOccurrences, number)
+			}
+		}
+		return nil
+	}
+	type plain Progress
+	return json.Unmarshal(text, (*plain)(p))
+}
+
+// rangesOf returns the ranges of consecutive numbers in a sorted list.
+func rangesOf(numbers []int) [][2]int {
+	var ranges [][2]int
+	for _, n := range numbers {
+		if last := len(ranges) - 1; last >= 0 && ranges[last][1] == n-1 {
+			ranges[last][1] = n
+			continue
+		}
+		ranges = append(ranges, [2]int{n, n})
+	}
+	return ranges
 }
 
 // TaskGroupProgress is the stored progress of one task group: a gang or one independent task.
@@ -142,7 +201,7 @@
 	return found
 }
 
-// Encode returns the JSON encoding of a Record, a Cancellation or a Progress.
+// Encode returns the JSON encoding of a Record, a Cancellation, a Progress or a ProgressPart.
 func Encode(value any) []byte {
 	text, err := json.Marshal(value)
 	if err != nil {
@@ -185,3 +244,10 @@
 	}
 	return p, nil
 }
+
+// DecodeProgressPart decodes a stored part of the job progress.
+func DecodeProgressPart(text []byte) (ProgressPart, error) {
+	var p ProgressPart
+	err := json.Unmarshal(text, &p)
+	return p, errors.Wrap(err, "decode a part of the job progress")
+}
