--- a/internal/pool/index.go
+++ b/internal/pool/index.go
@@ -68,6 +68,7 @@
 func (o *Owner) addTaskGroup(g *taskGroup) {
 	o.taskGroups[g.id] = g
 	o.index.add(g)
+	o.checkpointMemory += len(g.checkpoint)
 	if g.isSuspect() {
 		o.suspects.set(g.id, g)
 	}
@@ -76,6 +77,7 @@
 // removeTaskGroup unregisters a task group.
 func (o *Owner) removeTaskGroup(g *taskGroup) {
 	if o.taskGroups[g.id] == g {
+		o.dropCheckpoint(g)
 		o.index.remove(g)
 		delete(o.taskGroups, g.id)
 	}
--- a/internal/pool/jobrecord.go
+++ b/internal/pool/jobrecord.go
@@ -26,9 +26,6 @@
 	maxRecordBytes = 256 << 10
 	// maxTransactionBytes limits the values of a transaction, unless it has only one.
 	maxTransactionBytes = 512 << 10
-	// maxCheckpointBytes limits the checkpoints that are kept. A part holds those of all its tasks if
-	// they have up to 3 KB.
-	maxCheckpointBytes = 64 << 10
 )
 
 // jobRecord is a value in the store with progress of a job: the head or a part.
@@ -195,50 +192,60 @@
 // encodeTaskGroups encodes a record that holds the given task groups. If it is too long, the longest
 // checkpoints are left out: after a takeover their tasks start from the beginning.
 func (o *Owner) encodeTaskGroups(j *job, r *jobRecord, record any, groups map[string]workflow.TaskGroupProgress) []byte {
+	omitted := omitLongest(groups, checkpointBytes(groups)-maxRecordBytes)
 	value := workflow.Encode(record)
-	if len(value) <= maxRecordBytes {
-		return value
+	if len(value) > maxRecordBytes {
+		omitted += omitLongest(groups, len(value)-maxRecordBytes)
+		value = workflow.Encode(record)
 	}
-	type checkpoint struct {
-		group string
-		bytes int
+	if omitted > 0 {
+		o.reportOmitted(j, event.Fields{"key": r.key, "bytes": len(value), "omitted": omitted, "why": "record too long"})
 	}
-	var longest []checkpoint
+	return value
+}
+
+func checkpointBytes(groups map[string]workflow.TaskGroupProgress) int {
+	total := 0
+	for _, stored := range groups {
+		total += len(stored.Checkpoint)
+	}
+	return total
+}
+
+// omitLongest removes the longest checkpoints until at least excess bytes are removed, and returns
+// their number.
+func omitLongest(groups map[string]workflow.TaskGroupProgress, excess int) int {
+	if excess <= 0 {
+		return 0
+	}
+	var longest []string
 	for key, stored := range groups {
 		if stored.Checkpoint != "" {
-			longest = append(longest, checkpoint{key, len(stored.Checkpoint)})
+			longest = append(longest, key)
 		}
 	}
-	slices.SortFunc(longest, func(a, b checkpoint) int {
-		return cmp.Or(cmp.Compare(b.bytes, a.bytes), cmp.Compare(a.group, b.group))
+	slices.SortFunc(longest, func(a, b string) int {
+		return cmp.Or(cmp.Compare(len(groups[b].Checkpoint), len(groups[a].Checkpoint)), cmp.Compare(a, b))
 	})
-	excess, omitted := len(value)-maxRecordBytes, 0
-	for _, c := range longest {
+	omitted := 0
+	for _, key := range longest {
 		if excess <= 0 {
 			break
 		}
-		stored := groups[c.group]
+		stored := groups[key]
+		excess -= len(stored.Checkpoint)
 		stored.Checkpoint = ""
-		groups[c.group] = stored
-		excess -= c.bytes
+		groups[key] = stored
 		omitted++
 	}
-	if !j.checkpointsOmitted {
-		j.checkpointsOmitted = true
-		o.emit(event.CheckpointsOmitted, event.Subject{Job: string(j.id())}, event.Fields{"key": r.key, "bytes": len(value), "omitted": omitted, "why": "record too long"})
-	}
-	return workflow.Encode(record)
+	return omitted
 }
 
-// keepCheckpoint stores the checkpoint of a run, unless it is too long to keep.
-func (o *Owner) keepCheckpoint(g *taskGroup, checkpoint string) {
-	if len(checkpoint) <= maxCheckpointBytes {
-		g.checkpoint = checkpoint
-		return
-	}
-	if !g.job.checkpointsOmitted {
-		g.job.checkpointsOmitted = true
-		o.emit(event.CheckpointsOmitted, event.Subject{Job: string(g.job.id())}, event.Fields{"piece": g.key, "bytes": len(checkpoint), "omitted": 1, "why": "checkpoint too long"})
+// reportOmitted logs, once a job, that checkpoints are not kept.
+func (o *Owner) reportOmitted(j *job, fields event.Fields) {
+	if !j.checkpointsOmitted {
+		j.checkpointsOmitted = true
+		o.emit(event.CheckpointsOmitted, event.Subject{Job: string(j.id())}, fields)
 	}
 }
 
--- a/internal/pool/largejob_test.go
+++ b/internal/pool/largejob_test.go
@@ -210,3 +210,30 @@
 	sim.refuseWrite = nil
 	sim.waitFor(2*time.Minute, large, workflow.Completed)
 }
+
+// Guards against an owner that runs out of memory, and each one after it, since workers report long
+// checkpoints of many tasks.
+func TestCheckpointsTakeBoundedMemory(t *testing.T) {
+	const tasks, bytes, limit = 700, 60_000, 32 << 20
+	sim := startSimulation(t, 1, 8)
+	checkpoint := strings.Repeat("0", bytes-2) + "1s"
+	sim.alterResponse = func(_ pool.Call, inventory pool.Inventory, err error) (pool.Inventory, error) {
+		for i := range inventory.Running {
+			inventory.Running[i].Checkpoint = checkpoint
+		}
+		for i := range inventory.Ended {
+			inventory.Ended[i].Checkpoint = checkpoint
+		}
+		return inventory, err
+	}
+	sim.failAfter = func(run *fakeRun) (bool, time.Duration) { return run.key.Run == 1, 3 * time.Second }
+	s := manyTasks(tasks, 5*time.Second)
+	s.Checkpoints = true
+	for _, id := range []string{"first", "second"} {
+		before := sim.audit.resumes
+		sim.waitFor(time.Minute, sim.submit(id, "aso", normalQueue(), s), workflow.Completed)
+		resumed := sim.audit.resumes - before
+		require.LessOrEqual(t, resumed*bytes, limit)
+		require.Greater(t, resumed*bytes, limit/2, "the memory for the checkpoints of the first job is free again")
+	}
+}
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -68,6 +68,8 @@
 	// unansweredStoreCalls counts the consecutive transactions without a response.
 	unansweredStoreCalls int
 	suspectedRecords     []suspectedRecord
+	// checkpointMemory is the length of the checkpoints of all task groups.
+	checkpointMemory int
 	// recordedParts are the parts of jobs that have not been added yet.
 	recordedParts map[model.JobID]*recordedParts
 	// changed lists the jobs that may have unrecorded changes.
--- a/internal/pool/runs.go
+++ b/internal/pool/runs.go
@@ -283,6 +283,7 @@
 		o.releaseAssignment(g)
 	}
 	o.fire(g, "finish")
+	o.dropCheckpoint(g)
 	o.markChanged(g)
 	o.planNeeded = true
 	// The other members end too; renew at once to learn of it.
