--- a/internal/pool/jobrecord.go
+++ b/internal/pool/jobrecord.go
@@ -37,6 +37,9 @@
 	// changedAt that of its latest change. unrecordedFrom is 0 if all are recorded.
 	unrecordedFrom uint64
 	changedAt      uint64
+	// supersedesFrom is the version from which on the head stands for parts with unrecorded changes; 0 if
+	// it stands for none. A write of an earlier version does not hold them.
+	supersedesFrom uint64
 	refusals       refusals
 	// occurrence and taskGroups are those of a part.
 	occurrence int
@@ -113,7 +116,8 @@
 // recorded takes in that a record holds all changes up to a version.
 func (j *job) recorded(r *jobRecord, version uint64) {
 	r.refusals = refusals{}
-	if r.unrecordedFrom != 0 && r.unrecordedFrom <= version {
+	if r.unrecordedFrom != 0 && r.unrecordedFrom <= version && r.supersedesFrom <= version {
+		r.supersedesFrom = 0
 		j.unrecorded = slices.DeleteFunc(j.unrecorded, func(other *jobRecord) bool { return other == r })
 		r.unrecordedFrom = 0
 		if r.changedAt > version {
@@ -132,8 +136,8 @@
 	}
 }
 
-// supersedeParts makes the head, which says that they have ended, stand for the parts of an
-// occurrence, or of all occurrences.
+// supersedeParts makes the head, which has just been marked as changed since they have ended, stand for
+// the parts of an occurrence, or of all occurrences.
 func (j *job) supersedeParts(isOver func(occurrence int) bool) {
 	for _, part := range j.parts.all() {
 		if !isOver(part.occurrence) {
@@ -142,6 +146,7 @@
 		part.taskGroups = nil
 		if part.unrecordedFrom != 0 {
 			j.head.unrecordedFrom = min(j.head.unrecordedFrom, part.unrecordedFrom)
+			j.head.supersedesFrom = j.version
 			part.unrecordedFrom = 0
 		}
 	}
